--- /dev/null
+++ b/src/coordination/agents.rs
@@ -0,0 +1,365 @@
+//! Reports of workers, and the orders in answer to them.
+//!
+//! Starts go only into answers to reports: a worker drops an answer that comes
+//! more than a few seconds late, while an order sent straight to it may be
+//! carried out minutes later.
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::leader::{Action, Leader};
+use super::model::{Phase, Resources, SlotKey, SlotState};
+use crate::protocol::jobs::JobId;
+use crate::protocol::workers::{ExitCause, MachineId, Order, Report, TaskReport, TaskState};
+
+/// Most orders in one answer; more follow with the next report. Keeps the
+/// answer well below its size limit.
+const MAX_ORDERS: usize = 200;
+/// Failures on one machine, from several jobs, that condemn it.
+const SICK_FAILURES: usize = 3;
+/// Machines on which one job must have failed to slow it down.
+const BAD_JOB_MACHINES: usize = 3;
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum ReportReply {
+    Orders {
+        token: u64,
+        orders: Vec<Order>,
+    },
+    /// Not entitled to answer: the worker must turn elsewhere.
+    Elsewhere,
+}
+
+impl Leader {
+    pub fn report(&mut self, now: Instant, report: &Report) -> ReportReply {
+        // An answer with a lower token would be dropped and only hold the
+        // worker here while its lease runs out.
+        if !self.valid(now) || report.token > self.epoch {
+            return ReportReply::Elsewhere;
+        }
+        let empty = ReportReply::Orders { token: self.epoch, orders: Vec::new() };
+        if self.gone.contains(&report.machine) {
+            // A late copy from a machine whose deletion was confirmed.
+            return ReportReply::Elsewhere;
+        }
+        let epoch = self.epoch;
+        if self.catalog.is_empty() {
+            // Not counted yet, so it must not be told that it may go on.
+            return ReportReply::Elsewhere;
+        }
+        let Some(m) = self.machines.get_mut(&report.machine) else {
+            self.meet_unexpected(now, &report.machine, &report.machine_type, &report.zone, report.spot);
+            return empty;
+        };
+        let stamp = (report.session, report.seq);
+        if m.seen.is_some_and(|seen| stamp <= seen) || report.session < m.least_session {
+            return empty;
+        }
+        m.answered = Some(now);
+        m.heard = Some(now);
+        m.up_at.get_or_insert(now);
+        m.address.clone_from(&report.address);
+        if m.phase == Phase::Booting {
+            m.phase = Phase::Up;
+            m.idle_since = now;
+        }
+        if let Some(seconds) = report.notice_s {
+            if m.taken_at.is_none() {
+                tracing::info!(machine = %m.id, seconds, "the cloud takes a machine back");
+            }
+            m.taken_at = Some(now + Duration::from_secs_f64(seconds.min(1e6)));
+        }
+        let earlier = m.seen.replace(stamp);
+        if earlier.is_some_and(|(session, _)| session < report.session) {
+            // A new session begins without tasks.
+            self.clear_slots(now, &report.machine);
+        }
+        // Only a report under our own token is younger than anything that an
+        // earlier leader could still order: such orders carry a lower token
+        // and are refused from then on. An older one may be missing tasks.
+        if report.token < epoch {
+            return empty;
+        }
+        self.take_tasks(now, report);
+        if let Some(m) = self.machines.get_mut(&report.machine)
+            && !m.known
+        {
+            m.known = true;
+            self.check_whole();
+        }
+        let mut orders = self.stops_and_reaps(report);
+        self.mark_used(&report.machine);
+        self.stop_for_notice(now, &report.machine);
+        if orders.len() < MAX_ORDERS {
+            let room = MAX_ORDERS - orders.len();
+            self.fill(now, &report.machine, stamp.1, room, &mut orders);
+        }
+        ReportReply::Orders { token: epoch, orders }
+    }
+
+    fn take_tasks(&mut self, now: Instant, report: &Report) {
+        let machine = &report.machine;
+        let mut listed: HashSet<SlotKey> = HashSet::with_capacity(report.tasks.len());
+        let mut foreign = false;
+        for task in &report.tasks {
+            let key = (task.task.job.clone(), task.task.index);
+            match task.state {
+                TaskState::Exited(cause) => self.take_exit(now, machine, &key, task.attempt, cause),
+                state => {
+                    foreign |= !self.take_present(now, machine, &key, task, state);
+                    listed.insert(key);
+                }
+            }
+        }
+        let Some(m) = self.machines.get_mut(machine) else { return };
+        m.foreign = foreign;
+        // A slot that is not listed is free: either its start went into the
+        // answer to an earlier report, which the worker has dropped by now, or
+        // it has ended. A start in answer to this very report is not there yet.
+        let missing: Vec<SlotKey> = m
+            .slots
+            .iter()
+            .filter(|(key, slot)| {
+                let sent_later = matches!(slot.state, SlotState::Sent { seq } if seq >= report.seq);
+                !listed.contains(*key) && !sent_later
+            })
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in missing {
+            self.remove_slot(now, machine, &key);
+        }
+    }
+
+    /// A task that is on the machine. False if its job is not known.
+    fn take_present(
+        &mut self,
+        now: Instant,
+        machine: &MachineId,
+        key: &SlotKey,
+        task: &TaskReport,
+        state: TaskState,
+    ) -> bool {
+        let state = match state {
+            TaskState::Fetching => SlotState::Fetching,
+            TaskState::Saving => SlotState::Saving,
+            _ => SlotState::Running,
+        };
+        let Some(m) = self.machines.get_mut(machine) else { return true };
+        if let Some(slot) = m.slots.get_mut(key) {
+            if slot.attempt == task.attempt {
+                if slot.state != state {
+                    let was = slot.state == SlotState::Running;
+                    slot.state = state;
+                    slot.since = now;
+                    let is = state == SlotState::Running;
+                    if let Some(job) = self.jobs.get_mut(&key.0) {
+                        job.running = (job.running + u32::from(is)).saturating_sub(u32::from(was));
+                        if is {
+                            let kind = self.catalog.get(m.kind).map_or(0.0, |k| k.cache_gb);
+                            m.note_image(&job.record.spec.image, job.record.spec.image_gb, kind);
+                        }
+                    }
+                }
+                return true;
+            }
+            // The worker has another attempt than the one we sent: ours is
+            // refused there as in use. What is there counts.
+            self.remove_slot(now, machine, key);
+        }
+        let Some(job) = self.jobs.get(&key.0) else { return false };
+        // Adopted from an earlier leader, unless it should not be here.
+        let wanted = job.is_live() && !job.record.done.contains(key.1) && !job.active.contains_key(&key.1);
+        self.add_slot(now, machine, key.clone(), task.attempt, state, wanted);
+        if !wanted && let Some(slot) = self.machines.get_mut(machine).and_then(|m| m.slots.get_mut(key)) {
+            slot.stop = Some(0.0);
+        }
+        true
+    }
+
+    fn take_exit(
+        &mut self,
+        now: Instant,
+        machine: &MachineId,
+        key: &SlotKey,
+        attempt: u64,
+        cause: ExitCause,
+    ) {
+        let held = self
+            .machines
+            .get(machine)
+            .and_then(|m| m.slots.get(key))
+            .is_some_and(|slot| slot.attempt == attempt);
+        match cause {
+            ExitCause::Done => {
+                self.mark_done(now, &key.0, key.1);
+                if let Some(m) = self.machines.get_mut(machine) {
+                    m.failures.clear();
+                }
+                // Its result is kept; whoever runs it besides wastes work.
+                let elsewhere = self.jobs.get(&key.0).and_then(|j| j.active.get(&key.1)).cloned();
+                if let Some(other) = elsewhere.filter(|other| other != machine) {
+                    self.order_stop(&other, key, 0.0);
+                }
+            }
+            ExitCause::Error | ExitCause::Unknown if held => self.note_failure(now, machine, &key.0),
+            _ => {}
+        }
+        if held {
+            self.remove_slot(now, machine, key);
+        }
+    }
+
+    fn note_failure(&mut self, now: Instant, machine: &MachineId, job: &JobId) {
+        let report = self.config.settings.cluster.workers.report();
+        if let Some(j) = self.jobs.get_mut(job) {
+            j.failed_on.insert(machine.clone());
+            // A job that fails everywhere is slowed down, never given up.
+            if j.failed_on.len() >= BAD_JOB_MACHINES {
+                let factor = (j.failed_on.len() as u32).min(10);
+                j.hold_until = Some(now + report * factor);
+            }
+        }
+        let bad_job = |j: &JobId| self.jobs.get(j).is_some_and(|j| j.failed_on.len() >= BAD_JOB_MACHINES);
+        let Some(m) = self.machines.get_mut(machine) else { return };
+        m.failures.push(job.clone());
+        let counted = m.failures.iter().filter(|j| !bad_job(j)).count();
+        if counted >= SICK_FAILURES && !m.condemned {
+            tracing::info!(machine = %m.id, "tasks keep failing on a machine; replacing it");
+            m.condemned = true;
+        }
+    }
+
+    fn stops_and_reaps(&mut self, report: &Report) -> Vec<Order> {
+        let Some(m) = self.machines.get(&report.machine) else { return Vec::new() };
+        let mut orders = Vec::new();
+        for task in &report.tasks {
+            if orders.len() >= MAX_ORDERS {
+                break;
+            }
+            let (job, attempt) = (&task.task.job, task.attempt);
+            let name = task.task.clone();
+            match task.state {
+                TaskState::Exited(cause) => {
+                    // The record must know that it is done before the worker
+                    // may forget it. A job that is not in the picture is over.
+                    let unrecorded = cause == ExitCause::Done
+                        && self.jobs.get(job).is_some_and(|j| {
+                            j.record.final_standing().is_none()
+                                && !j.is_service()
+                                && !j.recorded.contains(name.index)
+                        });
+                    if !unrecorded {
+                        orders.push(Order::Forget { task: name, attempt });
+                    }
+                }
+                state => match m.slots.get(&(job.clone(), name.index)) {
+                    Some(slot) => {
+                        if let Some(grace_s) = slot.stop
+                            && (state != TaskState::Saving || grace_s <= 0.0)
+                        {
+                            orders.push(Order::Stop { task: name, attempt, grace_s });
+                        }
+                    }
+                    // Of a job that is over or was never accepted.
+                    None => orders.push(Order::Stop { task: name, attempt, grace_s: 0.0 }),
+                },
+            }
+        }
+        orders
+    }
+
+    /// Has a task stopped: at once, and again with every report until it is gone.
+    pub(super) fn order_stop(&mut self, machine: &MachineId, key: &SlotKey, grace_s: f64) {
+        let Some(m) = self.machines.get_mut(machine) else { return };
+        let Some(slot) = m.slots.get_mut(key) else { return };
+        if slot.stop.is_some_and(|before| before <= grace_s) {
+            return;
+        }
+        slot.stop = Some(grace_s);
+        if let (Ok(address), Some((session, _))) = (m.address.parse(), m.seen) {
+            let task = crate::protocol::jobs::TaskId { job: key.0.clone(), index: key.1 };
+            let order = Order::Stop { task, attempt: slot.attempt, grace_s };
+            self.actions.push(Action::Direct { address, token: self.epoch, session, orders: vec![order] });
+        }
+    }
+
+    /// The job is over: whatever runs of it is of no use.
+    pub(super) fn stop_leftovers(&mut self, _now: Instant, job: &JobId) {
+        let Some(j) = self.jobs.get(job) else { return };
+        if j.slots == 0 {
+            return;
+        }
+        let found: Vec<(MachineId, SlotKey)> = self
+            .machines
+            .values()
+            .flat_map(|m| m.slots.keys().filter(|k| &k.0 == job).map(|k| (m.id.clone(), k.clone())))
+            .collect();
+        for (machine, key) in found {
+            self.order_stop(&machine, &key, 0.0);
+        }
+    }
+
+    /// What can be saved before the cloud takes the machine is saved now;
+    /// what cannot be saved may still finish in time.
+    fn stop_for_notice(&mut self, now: Instant, machine: &MachineId) {
+        let Some(m) = self.machines.get(machine) else { return };
+        let Some(taken_at) = m.taken_at else { return };
+        let left = taken_at.saturating_duration_since(now).as_secs_f64();
+        let mut stops = Vec::new();
+        for (key, slot) in &m.slots {
+            let Some(job) = self.jobs.get(&key.0) else { continue };
+            let spec = job.spec();
+            let saves = spec.checkpoint_s > 0.0 && slot.state == SlotState::Running && spec.save_s < left;
+            let waits = matches!(slot.state, SlotState::Sent { .. } | SlotState::Fetching);
+            if slot.stop.is_none() && (saves || waits) {
+                stops.push((key.clone(), if saves { left } else { 0.0 }));
+            }
+        }
+        for (key, grace_s) in stops {
+            self.order_stop(machine, &key, grace_s);
+        }
+    }
+
+    /// Before the first start on a machine its record says so.
+    fn mark_used(&mut self, machine: &MachineId) {
+        let Some(m) = self.machines.get_mut(machine) else { return };
+        if m.used || m.marking {
+            return;
+        }
+        m.marking = true;
+        let name = m.hire.clone();
+        if let Some(hire) = self.hires.get_mut(&name) {
+            hire.record.used.insert(machine.clone());
+        }
+        self.write_hire(&name);
+    }
+
+    /// A machine that has not been answered for its whole lease, and a margin,
+    /// has killed all its tasks.
+    pub(super) fn prove_silent_machines(&mut self, now: Instant) {
+        let proof = self.config.lease_proof();
+        let loaded_at = self.loaded_at;
+        let silent: Vec<MachineId> = self
+            .machines
+            .values()
+            .filter(|m| m.phase != Phase::Booting || !m.known)
+            .filter(|m| !m.known || !m.slots.is_empty())
+            // The last answer of an earlier leader came before we acquired.
+            .filter(|m| now >= m.answered.map_or(loaded_at, |a| a.max(loaded_at)) + proof)
+            .map(|m| m.id.clone())
+            .collect();
+        for machine in silent {
+            tracing::info!(%machine, "silent for its whole lease; its tasks are gone");
+            self.clear_slots(now, &machine);
+            if let Some(m) = self.machines.get_mut(&machine) {
+                // A report that was held back may still list them.
+                m.least_session = m.seen.map_or(0, |(session, _)| session + 1);
+                m.known = true;
+                m.free = self.catalog.get(m.kind).map(Resources::of_type).unwrap_or_default();
+            }
+            self.check_whole();
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/election.rs
@@ -0,0 +1,491 @@
+//! The lease, the epoch and stepping down.
+//!
+//! One key, attached to a lease of the state service, names the leader. Its
+//! version is the epoch: the service assigns it, and it rises at each acquire.
+//! [`Election`] decides what to do next; [`run`] carries it out, one step at a
+//! time.
+
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use crate::protocol::cbor::{Fields, MapBuilder, decode, encode};
+use crate::protocol::state::{
+    Change, Condition, Entry, decode_committed, decode_lease, decode_watch, encode_commit, encode_lease,
+};
+use crate::storage::records::LEADER;
+use crate::storage::service::{Class, Store, StoreError, marked};
+use crate::transport::client::{Call, ClientError};
+
+/// Part of the lease given up against drift, timer steps and late wake-ups.
+const MARGIN: f64 = 0.03;
+/// Renewals within one lease time.
+const RENEWALS: u32 = 4;
+
+/// What others see of the election.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Role {
+    /// Nothing is known yet, or nobody leads.
+    Leaderless,
+    Follows {
+        leader: String,
+    },
+    /// Leads until then at least; afterwards nothing may be done in the
+    /// epoch's name until it is extended.
+    Leads {
+        epoch: u64,
+        until: Instant,
+    },
+}
+
+/// The next thing to do with the state service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Step {
+    Read,
+    MakeLease,
+    Acquire { lease: u64 },
+    EndLease { lease: u64 },
+    Watch { from: u64 },
+    Renew { lease: u64 },
+    Wait { until: Instant },
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum AcquireOutcome {
+    Won { epoch: u64 },
+    Lost,
+    LeaseGone,
+    Unknown,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RenewOutcome {
+    Renewed,
+    Gone,
+    Failed,
+}
+
+/// The leader key as read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Holder {
+    pub name: String,
+    pub incarnation: String,
+    pub version: u64,
+    pub lease: Option<u64>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Lease {
+    id: u64,
+    /// When the last request that certainly set its time was sent.
+    sent: Instant,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum State {
+    Look,
+    Vacant,
+    Following { holder: Holder },
+    Leading { epoch: u64, renew_at: Instant, until: Instant, confirm: bool },
+    Ending { lease: u64 },
+}
+
+#[derive(Debug)]
+pub struct Election {
+    name: String,
+    incarnation: String,
+    ttl: Duration,
+    state: State,
+    lease: Option<Lease>,
+    pause: Option<Instant>,
+}
+
+impl Election {
+    pub fn new(name: &str, incarnation: &str, ttl: Duration) -> Self {
+        Election {
+            name: name.to_owned(),
+            incarnation: incarnation.to_owned(),
+            ttl,
+            state: State::Look,
+            lease: None,
+            pause: None,
+        }
+    }
+
+    pub fn role(&self) -> Role {
+        match &self.state {
+            State::Leading { epoch, until, .. } => Role::Leads { epoch: *epoch, until: *until },
+            State::Following { holder } => Role::Follows { leader: holder.name.clone() },
+            _ => Role::Leaderless,
+        }
+    }
+
+    pub fn next(&mut self, now: Instant) -> Step {
+        if let Some(until) = self.pause {
+            if now < until {
+                return Step::Wait { until };
+            }
+            self.pause = None;
+        }
+        match &self.state {
+            State::Look => Step::Read,
+            State::Vacant => match self.lease {
+                None => Step::MakeLease,
+                // With little time left it would be lost soon after winning.
+                Some(lease) if now > lease.sent + self.ttl / 3 => Step::EndLease { lease: lease.id },
+                Some(lease) => Step::Acquire { lease: lease.id },
+            },
+            State::Following { holder } => match self.lease {
+                Some(lease) => Step::EndLease { lease: lease.id },
+                None => Step::Watch { from: holder.version },
+            },
+            State::Leading { renew_at, confirm, .. } => match self.lease {
+                _ if *confirm => Step::Read,
+                Some(lease) if now >= *renew_at => Step::Renew { lease: lease.id },
+                _ => Step::Wait { until: *renew_at },
+            },
+            State::Ending { lease } => Step::EndLease { lease: *lease },
+        }
+    }
+
+    fn pause(&mut self, now: Instant) {
+        self.pause = Some(now + self.ttl / 20);
+    }
+
+    /// When the lease ends by our own clock, counted from the sending.
+    fn end(&self, sent: Instant) -> Instant {
+        sent + self.ttl.mul_f64(1.0 - MARGIN)
+    }
+
+    pub fn on_read(&mut self, now: Instant, found: Result<Option<Holder>, ()>) {
+        let Ok(found) = found else { return self.pause(now) };
+        if let State::Leading { epoch, confirm, .. } = &mut self.state {
+            if found.as_ref().is_some_and(|h| h.version == *epoch && h.incarnation == self.incarnation) {
+                *confirm = false;
+                return;
+            }
+            self.state = State::Look;
+            self.lease = None;
+        }
+        self.state = match found {
+            None => State::Vacant,
+            Some(holder) if holder.incarnation == self.incarnation => match self.lease {
+                // The answer to our acquire was lost, but it was carried out.
+                Some(lease) if holder.lease == Some(lease.id) => State::Leading {
+                    epoch: holder.version,
+                    renew_at: lease.sent + self.ttl / RENEWALS,
+                    until: self.end(lease.sent),
+                    confirm: false,
+                },
+                // Ours, but by a lease whose time we no longer know.
+                _ => holder.lease.map_or(State::Look, |lease| State::Ending { lease }),
+            },
+            // A controller's name is used by one process at a time: a later
+            // one is started only once the former has ended. Whoever holds the
+            // key under our name with another incarnation is therefore dead,
+            // sends nothing any more, and its lease may be ended at once. What
+            // it sent before is fenced by the epoch like that of any other.
+            Some(holder) if holder.name == self.name => {
+                holder.lease.map_or(State::Look, |lease| State::Ending { lease })
+            }
+            Some(holder) => State::Following { holder },
+        };
+        if self.state == State::Look {
+            self.pause(now);
+        }
+    }
+
+    pub fn on_lease(&mut self, now: Instant, sent: Instant, made: Option<u64>) {
+        match made {
+            Some(id) => self.lease = Some(Lease { id, sent }),
+            None => self.pause(now),
+        }
+    }
+
+    pub fn on_acquire(&mut self, now: Instant, outcome: AcquireOutcome) {
+        match (outcome, self.lease) {
+            (AcquireOutcome::Won { epoch }, Some(lease)) => {
+                self.state = State::Leading {
+                    epoch,
+                    renew_at: lease.sent + self.ttl / RENEWALS,
+                    until: self.end(lease.sent),
+                    confirm: false,
+                };
+            }
+            (AcquireOutcome::LeaseGone, _) => {
+                self.lease = None;
+                self.state = State::Look;
+            }
+            // Whether won or lost, the key itself tells.
+            (AcquireOutcome::Unknown, _) => {
+                self.state = State::Look;
+                self.pause(now);
+            }
+            _ => self.state = State::Look,
+        }
+    }
+
+    pub fn on_end_lease(&mut self, now: Instant, lease: u64, ended: bool) {
+        if self.lease.is_some_and(|l| l.id == lease) {
+            // Not ended for certain is no harm: it runs out by itself, and a
+            // key attached to it goes with it.
+            self.lease = None;
+        }
+        if let State::Ending { .. } = self.state {
+            self.state = State::Look;
+            if !ended {
+                self.pause(now);
+            }
+        }
+    }
+
+    pub fn on_renew(&mut self, now: Instant, sent: Instant, outcome: RenewOutcome) {
+        let (ttl, end) = (self.ttl, self.end(sent));
+        let State::Leading { renew_at, until, confirm, .. } = &mut self.state else { return };
+        match outcome {
+            RenewOutcome::Renewed => {
+                // After a lapse, only with the key still ours does the epoch
+                // go on; that is read before anything is done in its name.
+                *confirm = now >= *until;
+                *until = end;
+                *renew_at = sent + ttl / RENEWALS;
+                if let Some(lease) = &mut self.lease {
+                    lease.sent = sent;
+                }
+            }
+            RenewOutcome::Gone => {
+                self.state = State::Look;
+                self.lease = None;
+            }
+            RenewOutcome::Failed => *renew_at = now + ttl / 20,
+        }
+    }
+
+    pub fn on_watch(&mut self, now: Instant, outcome: Result<(), ()>) {
+        if outcome.is_err() {
+            self.pause(now);
+        }
+    }
+
+    fn confirmed(&self) -> bool {
+        !matches!(self.state, State::Leading { confirm: true, .. })
+    }
+}
+
+/// Reads the leader key's value.
+pub fn holder(entry: &Entry) -> Option<Holder> {
+    let f = Fields::of(&entry.value).ok()?;
+    Some(Holder {
+        name: f.text("name").ok()?.to_owned(),
+        incarnation: f.text("by").ok()?.to_owned(),
+        version: entry.version,
+        lease: entry.lease,
+    })
+}
+
+/// Runs the election for as long as somebody listens.
+pub async fn run(mut election: Election, store: Store, address: String, roles: mpsc::Sender<Role>) {
+    let mut told = Role::Leaderless;
+    loop {
+        let step = election.next(Instant::now());
+        perform(&mut election, &store, &address, step).await;
+        let role = election.role();
+        if role != told && election.confirmed() {
+            log(&told, &role);
+            told = role.clone();
+            if roles.send(role).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+fn log(before: &Role, after: &Role) {
+    match (before, after) {
+        (Role::Leads { epoch: a, .. }, Role::Leads { epoch: b, .. }) if a == b => {}
+        (_, Role::Leads { epoch, .. }) => tracing::info!(epoch, "leads"),
+        (_, Role::Follows { leader }) => tracing::info!(%leader, "follows"),
+        (_, Role::Leaderless) => tracing::info!("nobody known to lead"),
+    }
+}
+
+async fn perform(election: &mut Election, store: &Store, address: &str, step: Step) {
+    let deadline = store.deadline();
+    let call = |method, target: String, body| Call { method, target, body, deadline };
+    match step {
+        Step::Wait { until } => tokio::time::sleep_until(until).await,
+        Step::Read => {
+            let found = match store.get(Class::Renewal, LEADER).await {
+                Ok(Some(entry)) => holder(&entry).map(Some).ok_or(()),
+                Ok(None) => Ok(None),
+                Err(_) => Err(()),
+            };
+            election.on_read(Instant::now(), found);
+            // A watch that ended leads back here through the same state.
+        }
+        Step::MakeLease => {
+            let sent = Instant::now();
+            let ttl_ms = u64::try_from(election.ttl.as_millis()).unwrap_or(u64::MAX);
+            let body = encode(&encode_lease(ttl_ms));
+            let made = match store.raw(Class::Renewal, call("POST", "/leases".into(), body)).await {
+                Ok(r) if r.status == 200 => decode(&r.body).ok().and_then(|v| decode_lease(&v).ok()),
+                _ => None,
+            };
+            election.on_lease(Instant::now(), sent, made);
+        }
+        Step::Acquire { lease } => {
+            let value = marked(
+                MapBuilder::new().set("name", election.name.as_str()).set("address", address),
+                &election.incarnation,
+            );
+            let vacant = Condition { key: LEADER.into(), version: 0 };
+            let change = Change::Put { key: LEADER.into(), value, lease: Some(lease) };
+            let body = encode(&encode_commit([&vacant], [&change]));
+            let outcome = match store.raw(Class::Renewal, call("POST", "/commit".into(), body)).await {
+                Ok(r) => match r.status {
+                    200 => match decode(&r.body).ok().and_then(|v| decode_committed(&v).ok()) {
+                        Some(epoch) => AcquireOutcome::Won { epoch },
+                        None => AcquireOutcome::Unknown,
+                    },
+                    409 => AcquireOutcome::Lost,
+                    400 => AcquireOutcome::LeaseGone,
+                    _ => AcquireOutcome::Unknown,
+                },
+                Err(_) => AcquireOutcome::Unknown,
+            };
+            election.on_acquire(Instant::now(), outcome);
+        }
+        Step::EndLease { lease } => {
+            let answer = store.raw(Class::Renewal, call("DELETE", format!("/leases/{lease}"), vec![])).await;
+            let ended = answer.is_ok_and(|r| r.status == 200 || r.status == 404);
+            election.on_end_lease(Instant::now(), lease, ended);
+        }
+        Step::Renew { lease } => {
+            let sent = Instant::now();
+            let call = call("POST", format!("/leases/{lease}/extend"), vec![]);
+            let outcome = match store.raw(Class::Renewal, call).await {
+                Ok(r) if r.status == 200 => RenewOutcome::Renewed,
+                Ok(r) if r.status == 404 => RenewOutcome::Gone,
+                _ => RenewOutcome::Failed,
+            };
+            election.on_renew(Instant::now(), sent, outcome);
+        }
+        Step::Watch { from } => {
+            let wait = election.ttl;
+            let call = Call {
+                method: "GET",
+                target: format!("/watch?starts={LEADER}&from={from}&waitMs={}", wait.as_millis()),
+                body: Vec::new(),
+                deadline: wait * 2 + deadline,
+            };
+            let outcome = match store.raw(Class::Renewal, call).await {
+                Ok(r) if r.status == 200 => {
+                    decode(&r.body).ok().and_then(|v| decode_watch(&v).ok()).map(drop).ok_or(())
+                }
+                // Too old to watch from: reading the key is what it takes.
+                Ok(r) if r.status == 410 => Ok(()),
+                Ok(_) | Err(ClientError::NotSent | ClientError::Lost(_)) => Err(()),
+                Err(_) => Ok(()),
+            };
+            election.on_watch(Instant::now(), outcome);
+            let found = match store.get(Class::Renewal, LEADER).await {
+                Ok(Some(entry)) => holder(&entry).map(Some).ok_or(()),
+                Ok(None) => Ok(None),
+                Err(StoreError::Unavailable) => return,
+                Err(_) => Err(()),
+            };
+            election.on_read(Instant::now(), found);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const TTL: Duration = Duration::from_secs(10);
+
+    fn holder_of(name: &str, incarnation: &str, version: u64, lease: u64) -> Holder {
+        Holder { name: name.into(), incarnation: incarnation.into(), version, lease: Some(lease) }
+    }
+
+    fn leading(now: Instant) -> Election {
+        let mut e = Election::new("c-0", "mine", TTL);
+        e.on_read(now, Ok(None));
+        assert_eq!(e.next(now), Step::MakeLease);
+        e.on_lease(now, now, Some(5));
+        assert_eq!(e.next(now), Step::Acquire { lease: 5 });
+        e.on_acquire(now, AcquireOutcome::Won { epoch: 40 });
+        e
+    }
+
+    #[test]
+    fn steps_down_by_its_own_clock_before_the_service_can() {
+        let start = Instant::now();
+        let mut e = leading(start);
+        let Role::Leads { epoch: 40, until } = e.role() else { panic!("leads") };
+        assert!(until < start + TTL, "the lease counts from the sending, less a margin");
+        // An answer that took long extends from its sending, not its arrival.
+        let sent = start + TTL / 4;
+        e.on_renew(start + TTL / 2, sent, RenewOutcome::Renewed);
+        let Role::Leads { until, .. } = e.role() else { panic!("leads") };
+        assert!(until < sent + TTL);
+        e.on_renew(start + TTL, start + TTL, RenewOutcome::Failed);
+        let Role::Leads { until: same, .. } = e.role() else { panic!("leads") };
+        assert_eq!(until, same, "a renewal without an answer extends nothing");
+        e.on_renew(start + TTL, start + TTL, RenewOutcome::Gone);
+        assert_eq!(e.role(), Role::Leaderless);
+    }
+
+    #[test]
+    fn a_lapsed_lease_resumes_only_once_the_key_is_seen_unchanged() {
+        let start = Instant::now();
+        let mut e = leading(start);
+        let late = start + TTL * 2;
+        e.on_renew(late, late, RenewOutcome::Renewed);
+        assert!(!e.confirmed());
+        assert_eq!(e.next(late), Step::Read);
+        e.on_read(late, Ok(Some(holder_of("c-0", "mine", 40, 5))));
+        assert!(e.confirmed());
+        let mut e = leading(start);
+        e.on_renew(late, late, RenewOutcome::Renewed);
+        e.on_read(late, Ok(Some(holder_of("c-1", "other", 41, 6))));
+        assert_eq!(e.role(), Role::Follows { leader: "c-1".into() });
+    }
+
+    #[test]
+    fn a_lost_answer_to_an_acquire_is_settled_by_reading() {
+        let now = Instant::now();
+        let begin = || {
+            let mut e = Election::new("c-0", "mine", TTL);
+            e.on_read(now, Ok(None));
+            e.on_lease(now, now, Some(5));
+            e.on_acquire(now, AcquireOutcome::Unknown);
+            e
+        };
+        let later = now + TTL / 10;
+        let mut carried_out = begin();
+        assert_eq!(carried_out.next(later), Step::Read);
+        carried_out.on_read(later, Ok(Some(holder_of("c-0", "mine", 41, 5))));
+        assert!(matches!(carried_out.role(), Role::Leads { epoch: 41, until } if until < now + TTL));
+        let mut not_yet = begin();
+        not_yet.on_read(later, Ok(None));
+        assert_eq!(not_yet.next(later), Step::Acquire { lease: 5 });
+        let mut beaten = begin();
+        beaten.on_read(later, Ok(Some(holder_of("c-1", "other", 41, 9))));
+        assert_eq!(beaten.next(later), Step::EndLease { lease: 5 }, "its late copy must not win afterwards");
+    }
+
+    #[test]
+    fn a_restarted_controller_ends_its_dead_predecessors_lease() {
+        let now = Instant::now();
+        let mut e = Election::new("c-0", "second", TTL);
+        e.on_read(now, Ok(Some(holder_of("c-0", "first", 40, 5))));
+        assert_eq!(e.next(now), Step::EndLease { lease: 5 });
+        e.on_end_lease(now, 5, true);
+        assert_eq!(e.next(now), Step::Read);
+        e.on_read(now, Ok(Some(holder_of("c-1", "x", 41, 6))));
+        assert_eq!(e.next(now), Step::Watch { from: 41 }, "another's lease is left alone");
+    }
+}
--- /dev/null
+++ b/src/coordination/fleet.rs
@@ -0,0 +1,683 @@
+//! Renting, draining and returning machines.
+//!
+//! Demand is measured for each group of jobs that may use the same machines.
+//! Its mean and spread over the last boots give what is kept; what waits now
+//! adds to it. Machines that no group wants and that stand idle are returned.
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::cloud::{CloudCall, CloudError, CloudReply, CloudResult};
+use super::leader::{Leader, Ticket};
+use super::model::{Hire, Machine, Phase, Resources};
+use crate::protocol::cbor::json_size;
+use crate::protocol::cloud::{
+    HireRequest, ListPage, ListedState, MAX_DELETE, MAX_HIRE, MachineType, encode_catalog,
+};
+use crate::protocol::state::{Change, Condition};
+use crate::protocol::workers::MachineId;
+use crate::storage::records::{CATALOG, HireRecord};
+use crate::storage::service::{Class, StoreError};
+
+/// The cloud bills at least this much of a machine.
+const LEAST_BILLED: Duration = Duration::from_secs(60);
+/// Deleted machines remembered, against late reports of theirs.
+const GONE: usize = 1024;
+
+/// Jobs that may use the same machines.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub(super) struct GroupKey {
+    types: Vec<usize>,
+    zone: Option<String>,
+    spot: bool,
+    gpus: bool,
+}
+
+/// Demand of one group over time, in CPUs (or GPUs, for jobs that need them).
+#[derive(Debug, Clone)]
+pub(super) struct Demand {
+    mean: f64,
+    square: f64,
+    born: Instant,
+    at: Instant,
+    active: f64,
+    pending: f64,
+    shape: Resources,
+}
+
+impl Demand {
+    fn new(now: Instant) -> Self {
+        Demand {
+            mean: 0.0,
+            square: 0.0,
+            born: now,
+            at: now,
+            active: 0.0,
+            pending: 0.0,
+            shape: Resources::default(),
+        }
+    }
+
+    fn sample(&mut self, now: Instant, memory: Duration) {
+        let value = self.active + self.pending;
+        let passed = now.saturating_duration_since(self.at).as_secs_f64().max(0.1);
+        let age = now.saturating_duration_since(self.born).as_secs_f64() + passed;
+        // Young, it is a plain mean; later, the past fades.
+        let weight = (passed / age.min(memory.as_secs_f64())).clamp(0.0, 1.0);
+        self.mean += (value - self.mean) * weight;
+        self.square += (value * value - self.square) * weight;
+        self.at = now;
+    }
+
+    fn spread(&self) -> f64 {
+        (self.square - self.mean * self.mean).max(0.0).sqrt()
+    }
+}
+
+/// What to rent: type, zone, spot or not, how many.
+type RentOption = (usize, String, bool, u32);
+
+/// When a type, zone and kind may be tried again after a refusal.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Backoff {
+    until: Instant,
+    wait: Duration,
+}
+
+/// One reading of the machine list, page by page.
+#[derive(Debug)]
+pub(super) struct ListRound {
+    started: Instant,
+    seen: HashSet<MachineId>,
+}
+
+impl Leader {
+    pub(super) fn request_catalog(&mut self) {
+        self.call_cloud(Ticket::Catalog, CloudCall::Catalog);
+    }
+
+    pub(super) fn cloud_answered(&mut self, now: Instant, ticket: Ticket, result: CloudResult) {
+        if result == Err(CloudError::Failed) {
+            self.cloud_failed_at = Some(now);
+        }
+        match (ticket, result) {
+            (Ticket::Catalog, Ok(CloudReply::Catalog(types))) => self.take_catalog(now, types),
+            (Ticket::Catalog, _) => self.catalog_at = Some(now),
+            (Ticket::List, Ok(CloudReply::List(page))) => self.take_list(now, page),
+            (Ticket::List, _) => self.listing = None,
+            (Ticket::AskHire(name), result) => self.hire_answered(now, &name, result),
+            (Ticket::Delete(machines), Ok(_)) => self.deleted(now, &machines),
+            (Ticket::Delete(machines), Err(_)) => {
+                // Perhaps carried out, perhaps not: asked again until it is.
+                for machine in machines {
+                    if let Some(m) = self.machines.get_mut(&machine) {
+                        m.delete_asked = false;
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Types keep their place, so that machines can refer to them by number.
+    pub(super) fn take_catalog(&mut self, now: Instant, types: Vec<MachineType>) {
+        self.catalog_at = Some(now);
+        let first = self.catalog.is_empty();
+        // Kept in the store, so that a takeover while the cloud is down can
+        // tell what its machines are. Prices move; they are not worth a write.
+        let shape = |k: &MachineType| MachineType { price: 0.0, spot_price: 0.0, ..k.clone() };
+        let changed = types.iter().any(|t| !self.catalog.iter().any(|k| shape(k) == shape(t)));
+        for kind in types {
+            match self.catalog.iter_mut().find(|k| k.name == kind.name) {
+                Some(known) => *known = kind,
+                None => self.catalog.push(kind),
+            }
+        }
+        if changed {
+            self.write_catalog();
+        }
+        if first && !self.catalog.is_empty() {
+            self.meet_all(now);
+        }
+    }
+
+    /// Enters all recorded machines, once their types are known.
+    pub(super) fn meet_all(&mut self, now: Instant) {
+        let hires: Vec<String> = self.hires.keys().cloned().collect();
+        for name in hires {
+            self.meet_hired(now, &name);
+        }
+        self.check_whole();
+    }
+
+    fn write_catalog(&mut self) {
+        let value = encode_catalog(&self.catalog);
+        let limit = (self.config.settings.cluster.state.value_kb * 1024.0) as usize;
+        if self.catalog_writing || json_size(&value) + 64 > limit {
+            return;
+        }
+        self.catalog_writing = true;
+        let condition = Condition { key: CATALOG.to_owned(), version: self.catalog_version };
+        let change = Change::Put { key: CATALOG.to_owned(), value, lease: None };
+        self.commit(Ticket::CatalogWrite, Class::Rest, vec![condition], vec![change]);
+    }
+
+    /// Enters the machines of a fleet record into the picture.
+    fn meet_hired(&mut self, now: Instant, name: &str) {
+        let Some(hire) = self.hires.get(name) else { return };
+        let request = hire.record.request.clone();
+        let used = hire.record.used.clone();
+        let ids = hire.record.machines.clone().unwrap_or_default();
+        let kind = self.catalog.iter().position(|k| k.name == request.machine_type).unwrap_or(usize::MAX);
+        for id in ids {
+            if self.machines.contains_key(&id) || self.gone.contains(&id) {
+                continue;
+            }
+            let was_used = used.contains(&id);
+            let machine = Machine {
+                id: id.clone(),
+                kind,
+                zone: request.zone.clone(),
+                spot: request.spot,
+                hire: name.to_owned(),
+                phase: if was_used { Phase::Up } else { Phase::Booting },
+                address: String::new(),
+                rented: now,
+                up_at: None,
+                seen: None,
+                least_session: 0,
+                heard: None,
+                answered: None,
+                // Nothing was ever started on a machine not marked as used.
+                known: !was_used,
+                used: was_used,
+                marking: false,
+                delete_asked: false,
+                taken_at: None,
+                slots: Default::default(),
+                free: self.catalog.get(kind).map(Resources::of_type).unwrap_or_default(),
+                foreign: false,
+                images: Default::default(),
+                failures: Vec::new(),
+                condemned: false,
+                idle_since: now,
+                unlisted: 0,
+                listed: false,
+            };
+            self.machines.insert(id, machine);
+        }
+    }
+
+    /// A machine that no record knows: entered first, then used or returned.
+    pub(super) fn meet_unexpected(
+        &mut self,
+        now: Instant,
+        id: &MachineId,
+        kind: &str,
+        zone: &str,
+        spot: bool,
+    ) {
+        let name = format!("x-{id}");
+        if self.catalog.is_empty() || self.hires.contains_key(&name) || self.gone.contains(id) {
+            return;
+        }
+        // It may be of a request whose answer is still on its way.
+        if self.hires.values().any(|h| h.record.machines.is_none()) {
+            return;
+        }
+        tracing::info!(machine = %id, "a machine that was not expected");
+        let request = HireRequest {
+            name: name.clone(),
+            machine_type: kind.to_owned(),
+            zone: zone.to_owned(),
+            spot,
+            count: 1,
+        };
+        let record = HireRecord { request, machines: Some(vec![id.clone()]), used: Default::default() };
+        let hire = Hire { record, version: 0, writing: false, dirty: false, asking: false, asked_at: now };
+        self.hires.insert(name.clone(), hire);
+        self.write_hire(&name);
+        self.meet_hired(now, &name);
+    }
+
+    pub(super) fn hire_written(&mut self, now: Instant, name: String, result: Result<u64, StoreError>) {
+        let Some(hire) = self.hires.get_mut(&name) else { return };
+        hire.writing = false;
+        match result {
+            Ok(version) => hire.version = version,
+            Err(StoreError::Fenced) => return,
+            Err(error) => {
+                tracing::error!(hire = %name, ?error, "a fleet record cannot be written");
+                hire.writing = true;
+                return;
+            }
+        }
+        if hire.dirty {
+            // What was marked since is not recorded yet; wait for the next.
+            return self.write_hire(&name);
+        }
+        if hire.record.machines.as_ref().is_some_and(Vec::is_empty) {
+            self.hires.remove(&name);
+            return;
+        }
+        for id in hire.record.used.clone() {
+            if let Some(m) = self.machines.get_mut(&id) {
+                m.used = true;
+                m.marking = false;
+            }
+        }
+        if self.hires.get(&name).is_some_and(|h| h.record.machines.is_none()) {
+            self.ask_hire(now, &name);
+        }
+    }
+
+    fn ask_hire(&mut self, now: Instant, name: &str) {
+        let Some(hire) = self.hires.get_mut(name) else { return };
+        if hire.asking || hire.version == 0 {
+            return;
+        }
+        hire.asking = true;
+        hire.asked_at = now;
+        let request = hire.record.request.clone();
+        self.call_cloud(Ticket::AskHire(name.to_owned()), CloudCall::Hire(request));
+    }
+
+    fn hire_answered(&mut self, now: Instant, name: &str, result: CloudResult) {
+        let Some(hire) = self.hires.get_mut(name) else { return };
+        hire.asking = false;
+        hire.asked_at = now;
+        let request = hire.record.request.clone();
+        let kind = self.catalog.iter().position(|k| k.name == request.machine_type).unwrap_or(usize::MAX);
+        let option = (kind, request.zone.clone(), request.spot);
+        let short = match result {
+            Ok(CloudReply::Hired(machines)) => {
+                let short = (machines.len() as u32) < request.count;
+                hire.record.machines = Some(machines);
+                short
+            }
+            Err(CloudError::NoCapacity | CloudError::Rejected) => {
+                hire.record.machines = Some(Vec::new());
+                true
+            }
+            // Unknown: the same request again, which then tells what it got.
+            _ => return,
+        };
+        self.write_hire(name);
+        self.meet_hired(now, name);
+        if short {
+            let boot = self.catalog.get(kind).map_or(30.0, |k| k.boot_s).max(1.0);
+            let first = Duration::from_secs_f64(boot / 2.0);
+            let wait = self.backoff.get(&option).map_or(first, |b| (b.wait * 2).min(first * 6));
+            self.backoff.insert(option, Backoff { until: now + wait, wait });
+        } else {
+            self.backoff.remove(&option);
+        }
+    }
+
+    fn deleted(&mut self, now: Instant, machines: &[MachineId]) {
+        for id in machines {
+            // The answer proves that the machine and all on it are gone.
+            self.clear_slots(now, id);
+            let Some(m) = self.machines.remove(id) else { continue };
+            if self.gone.insert(id.clone()) {
+                self.gone_order.push_back(id.clone());
+            }
+            while self.gone_order.len() > GONE {
+                if let Some(old) = self.gone_order.pop_front() {
+                    self.gone.remove(&old);
+                }
+            }
+            if let Some(hire) = self.hires.get_mut(&m.hire) {
+                if let Some(list) = &mut hire.record.machines {
+                    list.retain(|other| other != id);
+                }
+                hire.record.used.remove(id);
+            }
+            self.write_hire(&m.hire);
+        }
+        self.check_whole();
+    }
+
+    fn delete(&mut self, machines: Vec<MachineId>) {
+        for chunk in machines.chunks(MAX_DELETE) {
+            for id in chunk {
+                if let Some(m) = self.machines.get_mut(id) {
+                    m.phase = Phase::Deleting;
+                    m.delete_asked = true;
+                }
+            }
+            self.call_cloud(Ticket::Delete(chunk.to_vec()), CloudCall::Delete(chunk.to_vec()));
+        }
+    }
+
+    fn take_list(&mut self, now: Instant, page: ListPage) {
+        let Some(mut round) = self.listing.take() else { return };
+        let mut failed = Vec::new();
+        for listed in &page.machines {
+            round.seen.insert(listed.machine.clone());
+            match self.machines.get_mut(&listed.machine) {
+                Some(m) => {
+                    m.listed = true;
+                    m.unlisted = 0;
+                    if m.address.is_empty() {
+                        m.address.clone_from(&listed.address);
+                    }
+                    if listed.state == ListedState::Failed && m.phase != Phase::Deleting {
+                        failed.push(m.id.clone());
+                    }
+                }
+                None => {
+                    self.meet_unexpected(
+                        now,
+                        &listed.machine,
+                        &listed.machine_type,
+                        &listed.zone,
+                        listed.spot,
+                    );
+                }
+            }
+        }
+        if !failed.is_empty() {
+            tracing::info!(count = failed.len(), "machines have stopped on their own");
+            self.delete(failed);
+        }
+        match page.machines.last() {
+            Some(last) if page.more => {
+                let from = last.machine.as_str().to_owned();
+                self.listing = Some(round);
+                self.call_cloud(Ticket::List, CloudCall::List { from });
+            }
+            _ => {
+                self.listed_at = Some(now);
+                self.judge_unlisted(now, &round);
+            }
+        }
+    }
+
+    /// A machine that was listed and is no more is gone, unless the list is
+    /// older than an earlier one. Its deletion proves it, and costs nothing.
+    fn judge_unlisted(&mut self, now: Instant, round: &ListRound) {
+        let cluster = &self.config.settings.cluster;
+        let lag = Duration::from_secs_f64(cluster.cloud.list_lag_s);
+        let quiet = cluster.workers.report().mul_f64(1.5);
+        let mut lost = Vec::new();
+        for m in self.machines.values_mut() {
+            if round.seen.contains(&m.id) || m.phase == Phase::Deleting {
+                continue;
+            }
+            let old_enough = m.listed || m.rented + lag * 4 < round.started;
+            let silent = m.heard.is_none_or(|h| h + quiet < now);
+            if old_enough && silent {
+                m.unlisted += 1;
+                if m.unlisted >= 2 {
+                    lost.push(m.id.clone());
+                }
+            }
+        }
+        if !lost.is_empty() {
+            tracing::info!(count = lost.len(), "machines are not listed any more");
+            self.delete(lost);
+        }
+    }
+
+    /// Once a second.
+    pub(super) fn fleet_tick(&mut self, now: Instant) {
+        let cluster = &self.config.settings.cluster;
+        let lag = Duration::from_secs_f64(cluster.cloud.list_lag_s.max(1.0));
+        let catalog_age = if self.catalog.is_empty() { Duration::from_secs(1) } else { lag * 10 };
+        let asked = self.tickets.values().any(|t| matches!(t, Ticket::Catalog));
+        if !asked && self.catalog_at.is_none_or(|at| now > at + catalog_age) {
+            self.request_catalog();
+        }
+        if self.catalog.is_empty() {
+            return;
+        }
+        if self.listing.is_none() && self.listed_at.is_none_or(|at| now > at + lag) {
+            self.listing = Some(ListRound { started: now, seen: HashSet::new() });
+            self.call_cloud(Ticket::List, CloudCall::List { from: String::new() });
+        }
+        let unresolved: Vec<String> = self
+            .hires
+            .values()
+            .filter(|h| h.record.machines.is_none() && !h.writing && !h.asking)
+            .filter(|h| h.version > 0 && now >= h.asked_at + Duration::from_secs(2))
+            .map(|h| h.record.request.name.clone())
+            .collect();
+        for name in unresolved {
+            self.ask_hire(now, &name);
+        }
+        self.measure_demand(now);
+        let wanted = self.rent(now);
+        self.give_back(now, &wanted);
+    }
+
+    fn measure_demand(&mut self, now: Instant) {
+        for demand in self.demand.values_mut() {
+            (demand.active, demand.pending) = (0.0, 0.0);
+        }
+        // A team's work beyond its limit cannot run, so nothing is rented for it.
+        let mut team_total = vec![0.0; self.teams.len()];
+        for job in self.jobs.values().filter(|j| j.is_live()) {
+            if let Some(team) = job.team {
+                team_total[team] += job.spec().cpus * f64::from(job.unfinished());
+            }
+        }
+        let mut sums: Vec<(GroupKey, f64, f64, Resources, f64)> = Vec::new();
+        for job in self.jobs.values().filter(|j| j.is_live()) {
+            let spec = job.spec();
+            let Some(team) = job.team else { continue };
+            let gpus = spec.gpus > 0.0;
+            let unit = if gpus { spec.gpus } else { spec.cpus };
+            let limit = self.teams[team].limit.cpus;
+            let scale = if team_total[team] > limit { limit / team_total[team] } else { 1.0 };
+            let key =
+                GroupKey { types: self.fitting_types(spec), zone: spec.zone.clone(), spot: spec.spot, gpus };
+            let active = unit * job.active.len() as f64;
+            let pending = unit * f64::from(job.pending());
+            let scaled = ((active + pending) * scale - active).max(0.0);
+            sums.push((key, active, scaled, Resources::of(spec), f64::from(job.unfinished())));
+        }
+        for (key, active, pending, shape, tasks) in sums {
+            let demand = self.demand.entry(key).or_insert_with(|| Demand::new(now));
+            demand.active += active;
+            demand.pending += pending;
+            // A running mean of what one task takes; tasks weigh it.
+            let weight = (tasks / (tasks + 20.0)).clamp(0.0, 1.0);
+            if demand.shape == Resources::default() {
+                demand.shape = shape;
+            } else {
+                let blend = |old: f64, new: f64| old + (new - old) * weight;
+                demand.shape = Resources {
+                    cpus: blend(demand.shape.cpus, shape.cpus),
+                    gpus: blend(demand.shape.gpus, shape.gpus),
+                    memory_gb: blend(demand.shape.memory_gb, shape.memory_gb),
+                };
+            }
+        }
+        let boot = self.catalog.iter().map(|k| k.boot_s).fold(1.0, f64::max);
+        let memory = Duration::from_secs_f64(boot * self.config.tuning.memory_ratio);
+        for demand in self.demand.values_mut() {
+            demand.sample(now, memory);
+        }
+        self.demand.retain(|_, d| d.mean > 0.05 || d.active + d.pending > 0.0);
+    }
+
+    /// Units of a group's work that a machine type takes.
+    fn units(&self, kind: usize, demand: &Demand, gpus: bool) -> f64 {
+        let Some(kind) = self.catalog.get(kind) else { return 0.0 };
+        let tasks = f64::from(demand.shape.times_in(&Resources::of_type(kind)).min(10_000));
+        tasks * if gpus { demand.shape.gpus } else { demand.shape.cpus }
+    }
+
+    /// Covers every group's need with machines, the cheapest first, and rents
+    /// what is missing. Returns the machines that are wanted.
+    fn rent(&mut self, now: Instant) -> HashSet<MachineId> {
+        let tuning = &self.config.tuning;
+        let (headroom, mean_ratio) = (tuning.headroom, tuning.mean_ratio);
+        let mut groups: Vec<(GroupKey, Demand)> =
+            self.demand.iter().map(|(k, d)| (k.clone(), d.clone())).collect();
+        // Those with the fewest choices first.
+        groups.sort_by_key(|(k, _)| (k.types.len(), k.zone.is_none(), k.spot, k.clone()));
+        let mut left: Vec<(MachineId, usize, String, bool, f64)> = self
+            .machines
+            .values()
+            .filter(|m| m.phase != Phase::Deleting && !m.condemned && m.taken_at.is_none())
+            .map(|m| (m.id.clone(), m.kind, m.zone.clone(), m.spot, 1.0))
+            .collect();
+        let price = |kind: usize, spot: bool| -> f64 {
+            self.catalog
+                .get(kind)
+                .map_or(f64::MAX, |k| (if spot { k.spot_price } else { k.price }) / k.cpus.max(1.0))
+        };
+        left.sort_by(|a, b| price(a.1, a.3).total_cmp(&price(b.1, b.3)).then_with(|| a.0.cmp(&b.0)));
+        // Machines asked for but not named yet count as if they were there.
+        let mut coming: Vec<(usize, String, bool, f64)> = self
+            .hires
+            .values()
+            .filter(|h| h.record.machines.is_none())
+            .map(|h| {
+                let r = &h.record.request;
+                let kind = self.catalog.iter().position(|k| k.name == r.machine_type).unwrap_or(usize::MAX);
+                (kind, r.zone.clone(), r.spot, f64::from(r.count))
+            })
+            .collect();
+        let mut wanted = HashSet::new();
+        let mut orders = Vec::new();
+        for (key, demand) in groups {
+            let now_needed = demand.active + demand.pending * 0.5;
+            let usual = demand.mean * mean_ratio + demand.spread() * headroom;
+            let mut need = now_needed.max(usual);
+            let allows = |kind: usize, zone: &str, spot: bool| {
+                key.types.contains(&kind)
+                    && key.zone.as_deref().is_none_or(|z| z == zone)
+                    && (key.spot || !spot)
+            };
+            for (id, kind, zone, spot, part) in &mut left {
+                if need <= 0.0 {
+                    break;
+                }
+                let units = self.units(*kind, &demand, key.gpus);
+                if *part <= 0.0 || units <= 0.0 || !allows(*kind, zone, *spot) {
+                    continue;
+                }
+                let taken = (need / units).min(*part);
+                *part -= taken;
+                need -= taken * units;
+                wanted.insert(id.clone());
+            }
+            for (kind, zone, spot, count) in &mut coming {
+                let units = self.units(*kind, &demand, key.gpus);
+                if need > 0.0 && units > 0.0 && allows(*kind, zone, *spot) {
+                    let taken = (need / units).min(*count);
+                    *count -= taken;
+                    need -= taken * units;
+                }
+            }
+            if need > 0.0
+                && let Some(order) = self.choose_option(now, &key, &demand, need)
+            {
+                orders.push(order);
+            }
+        }
+        for (kind, zone, spot, count) in orders {
+            self.hire(now, kind, zone, spot, count);
+        }
+        wanted
+    }
+
+    /// The cheapest way to get what is missing; evens out zones at one price.
+    fn choose_option(&self, now: Instant, key: &GroupKey, demand: &Demand, need: f64) -> Option<RentOption> {
+        let busy = |kind: usize, zone: &str, spot: bool| {
+            self.hires.values().any(|h| {
+                let r = &h.record.request;
+                h.record.machines.is_none()
+                    && r.zone == zone
+                    && r.spot == spot
+                    && self.catalog.get(kind).is_some_and(|k| k.name == r.machine_type)
+            }) || self.backoff.get(&(kind, zone.to_owned(), spot)).is_some_and(|b| now < b.until)
+        };
+        let mut best: Option<(f64, usize, RentOption)> = None;
+        for &at in &key.types {
+            let kind = self.catalog.get(at)?;
+            let units = self.units(at, demand, key.gpus);
+            if units <= 0.0 {
+                continue;
+            }
+            let count = (need / units - 0.05).ceil().max(0.0) as u32;
+            if count == 0 {
+                continue;
+            }
+            for zone in kind.zones.iter().filter(|z| key.zone.as_ref().is_none_or(|k| k == *z)) {
+                for spot in [true, false] {
+                    if (spot && !key.spot) || busy(at, zone, spot) {
+                        continue;
+                    }
+                    let cost = f64::from(count) * if spot { kind.spot_price } else { kind.price };
+                    let here = self.machines.values().filter(|m| m.zone == *zone).count();
+                    let better = best
+                        .as_ref()
+                        .is_none_or(|(c, n, _)| cost < c * 0.99 || (cost < c * 1.01 && here < *n));
+                    if better {
+                        best = Some((cost, here, (at, zone.clone(), spot, count.min(MAX_HIRE))));
+                    }
+                }
+            }
+        }
+        best.map(|(_, _, option)| option)
+    }
+
+    fn hire(&mut self, now: Instant, kind: usize, zone: String, spot: bool, count: u32) {
+        let Some(machine_type) = self.catalog.get(kind).map(|k| k.name.clone()) else { return };
+        self.next_hire += 1;
+        // Epoch and counter: never used twice, by whichever controller.
+        let name = format!("{}-{}", self.epoch, self.next_hire);
+        tracing::info!(hire = %name, %machine_type, %zone, spot, count, "renting");
+        let request = HireRequest { name: name.clone(), machine_type, zone, spot, count };
+        let record = HireRecord { request, machines: None, used: Default::default() };
+        let hire = Hire { record, version: 0, writing: false, dirty: false, asking: false, asked_at: now };
+        self.hires.insert(name.clone(), hire);
+        self.write_hire(&name);
+    }
+
+    /// Returns what is idle and not wanted, and what is of no use any more.
+    fn give_back(&mut self, now: Instant, wanted: &HashSet<MachineId>) {
+        let cluster = &self.config.settings.cluster;
+        let tuning = &self.config.tuning;
+        let silence = cluster.workers.lease().mul_f64(tuning.silence_ratio);
+        let since = self.since;
+        let heard = |m: &Machine| m.heard.map_or(since, |h| h.max(since));
+        let up: Vec<&Machine> = self.machines.values().filter(|m| m.phase == Phase::Up).collect();
+        let quiet = up.iter().filter(|m| now > heard(m) + silence).count();
+        // If most are silent, the fault is more likely on this side.
+        let trust_silence = quiet * 2 <= up.len().max(1) || quiet <= 2;
+        let cloud_down = self.cloud_failed_at.is_some_and(|at| now < at + Duration::from_secs(10));
+        let mut back = Vec::new();
+        for m in self.machines.values() {
+            let boot = Duration::from_secs_f64(self.catalog.get(m.kind).map_or(30.0, |k| k.boot_s).max(1.0));
+            let idle = m.slots.is_empty() && m.known;
+            let reason = match m.phase {
+                Phase::Deleting => (!m.delete_asked).then_some("asked again"),
+                Phase::Booting => {
+                    let limit = boot.mul_f64(tuning.boot_limit_ratio).max(LEAST_BILLED);
+                    if now > m.rented + limit { Some("never started") } else { None }
+                }
+                Phase::Up if trust_silence && now > heard(m) + silence => Some("silent"),
+                Phase::Up if idle && (m.condemned || m.taken_at.is_some()) => Some("sick or taken"),
+                Phase::Up => {
+                    let long = now > m.idle_since + boot.mul_f64(tuning.idle_ratio);
+                    let billed = now > m.rented + LEAST_BILLED;
+                    (idle && long && billed && !cloud_down && !wanted.contains(&m.id)).then_some("idle")
+                }
+            };
+            if let Some(reason) = reason {
+                tracing::info!(machine = %m.id, reason, "returning");
+                back.push(m.id.clone());
+            }
+        }
+        if !back.is_empty() {
+            self.delete(back);
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/intake.rs
@@ -0,0 +1,126 @@
+//! What users ask of the leader.
+
+use tokio::time::Instant;
+
+use super::leader::{Action, Answer, Creating, Leader, Ticket};
+use super::model::{ReplyTo, Resources};
+use crate::protocol::jobs::{Form, JobId, JobSpec, JobStatus, Standing};
+use crate::protocol::state::{Change, Condition};
+use crate::storage::records::{JobRecord, live_key, record_key, row};
+use crate::storage::service::{Class, StoreError};
+
+impl Leader {
+    pub fn submit(&mut self, now: Instant, now_ms: u64, to: ReplyTo, spec: JobSpec) {
+        if !self.valid(now) {
+            return self.answer(to, Answer::later(503, "not leading now", 1));
+        }
+        if let Some(job) = self.jobs.get(&spec.id) {
+            let status = job.status();
+            return self.answer(to, Answer::new(200, &status.encode()));
+        }
+        if let Some(creating) = self.creating.get_mut(&spec.id) {
+            return creating.waiting.push(to);
+        }
+        if self.catalog.is_empty() {
+            return self.answer(to, Answer::later(503, "machine types not known yet", 1));
+        }
+        if let Some(reason) = self.can_never_run(&spec) {
+            // Unless it was accepted earlier: a retry is never judged anew.
+            let otherwise = Answer::refused(422, reason);
+            return self.actions.push(Action::LookUp { to, job: spec.id, otherwise });
+        }
+        // Acceptances take two changes each. What could not be written within
+        // a second or two is refused now rather than kept waiting.
+        let state = &self.config.settings.cluster.state;
+        let room = (state.write_rps / 2.0).max(4.0) as usize;
+        let most_jobs = (self.config.settings.cluster.limits.memory_mb * 32.0) as usize;
+        if self.creating.len() >= room || self.jobs.len() >= most_jobs {
+            return self.answer(to, Answer::later(429, "too many submissions at once", 2));
+        }
+        let job = spec.id.clone();
+        let record = JobRecord::new(spec, now_ms);
+        let conditions = vec![
+            Condition { key: record_key(&job), version: 0 },
+            Condition { key: live_key(&job), version: 0 },
+        ];
+        let changes = vec![
+            Change::Put { key: record_key(&job), value: record.encode(state.value_kb), lease: None },
+            Change::Put { key: live_key(&job), value: row(Standing::Queued), lease: None },
+        ];
+        self.creating.insert(job.clone(), Creating { record, waiting: vec![to] });
+        self.commit(Ticket::Create(job), Class::Accept, conditions, changes);
+    }
+
+    /// Why no machine will ever take the job.
+    fn can_never_run(&self, spec: &JobSpec) -> Option<&'static str> {
+        let Some(&team) = self.team_index.get(&spec.team) else { return Some("unknown team") };
+        if self.fitting_types(spec).is_empty() {
+            return Some("a task fits no allowed machine type");
+        }
+        let tasks = if spec.form == Form::Service { f64::from(spec.tasks) } else { 1.0 };
+        let limit = self.teams[team].limit;
+        let total = Resources { cpus: spec.cpus * tasks, gpus: spec.gpus * tasks, memory_gb: 0.0 };
+        if total.fits(&limit) { None } else { Some("needs more than the team's limit") }
+    }
+
+    pub(super) fn created(&mut self, now: Instant, job: JobId, result: Result<u64, StoreError>) {
+        let Some(Creating { record, waiting }) = self.creating.remove(&job) else { return };
+        match result {
+            Ok(version) => {
+                self.insert_job(now, record, version);
+                let body = JobStatus { id: job, standing: Standing::Queued, done: 0, running: 0 }.encode();
+                for to in waiting {
+                    self.answer(to, Answer::new(201, &body));
+                }
+            }
+            // It was accepted earlier and is over: the record tells.
+            Err(StoreError::Conflict) => {
+                for to in waiting {
+                    let otherwise = Answer::later(503, "try again", 1);
+                    self.actions.push(Action::LookUp { to, job: job.clone(), otherwise });
+                }
+            }
+            Err(_) => {
+                for to in waiting {
+                    self.answer(to, Answer::later(503, "could not be recorded", 1));
+                }
+            }
+        }
+    }
+
+    /// What the picture says of a job; `None` if the store must be asked.
+    pub fn poll(&self, now: Instant, job: &JobId) -> Option<JobStatus> {
+        let job = self.jobs.get(job)?;
+        // Without the lease another leader may know more; what is final is
+        // final in any case.
+        let usable = self.valid(now) || job.record.final_standing().is_some();
+        usable.then(|| job.status())
+    }
+
+    /// False if the job is not in the picture and the store must be asked.
+    pub fn withdraw(&mut self, now: Instant, to: ReplyTo, job: &JobId) -> bool {
+        let valid = self.valid(now);
+        let Some(j) = self.jobs.get_mut(job) else {
+            if self.creating.contains_key(job) {
+                self.answer(to, Answer::later(503, "being accepted", 1));
+                return true;
+            }
+            return false;
+        };
+        if j.record.final_standing().is_some() {
+            let status = j.status();
+            self.answer(to, Answer::new(200, &status.encode()));
+        } else if !valid {
+            self.answer(to, Answer::later(503, "not leading now", 1));
+        } else {
+            j.withdrawals.push(to);
+            // A settle on its way to the store comes first, and stays.
+            let settling = j.writing.as_ref().is_some_and(|w| w.settled);
+            if !settling {
+                j.cancel_wanted = true;
+                self.write_record(job);
+            }
+        }
+        true
+    }
+}
--- /dev/null
+++ b/src/coordination/leader.rs
@@ -0,0 +1,640 @@
+//! The leader's picture and the bookkeeping that all its parts share.
+//!
+//! [`Leader`] takes events and the time and leaves [`Action`]s to carry out.
+//! Its parts are in the modules beside this one: `intake`, `agents`,
+//! `scheduler`, `fleet`.
+
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::time::Instant;
+
+use super::cloud::{CloudCall, CloudResult};
+use super::fleet::{Backoff, Demand, GroupKey, ListRound};
+use super::model::{Hire, Job, Machine, Phase, ReplyTo, Resources, Slot, SlotKey, SlotState, Team, Written};
+use super::scheduler::Ranked;
+use crate::policy::Tuning;
+use crate::protocol::cbor::encode;
+use crate::protocol::cloud::MachineType;
+use crate::protocol::jobs::{JobId, JobSpec, Standing, refusal};
+use crate::protocol::state::{Change, Condition};
+use crate::protocol::workers::{MachineId, Order};
+use crate::settings::Settings;
+use crate::storage::records::{
+    HireRecord, JobRecord, block_key, block_size, blocks, hire_key, live_key, over_key, record_key, row,
+};
+use crate::storage::service::{Class, StoreError, Transaction};
+
+/// An answer to a user.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answer {
+    pub status: u16,
+    pub body: Vec<u8>,
+    pub retry_after_s: Option<u32>,
+}
+
+impl Answer {
+    pub fn new(status: u16, body: &ciborium::value::Value) -> Self {
+        Answer { status, body: encode(body), retry_after_s: None }
+    }
+
+    pub fn refused(status: u16, reason: &str) -> Self {
+        Answer::new(status, &refusal(reason))
+    }
+
+    /// Can't be taken now: said at once, with a time to come back.
+    pub fn later(status: u16, reason: &str, after_s: u32) -> Self {
+        Answer { retry_after_s: Some(after_s.clamp(1, 30)), ..Answer::refused(status, reason) }
+    }
+}
+
+/// What is to be done outside.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    Answer {
+        to: ReplyTo,
+        answer: Answer,
+    },
+    /// Read the job's record: if it exists its standing is the answer.
+    LookUp {
+        to: ReplyTo,
+        job: JobId,
+        otherwise: Answer,
+    },
+    Commit {
+        ticket: u64,
+        transaction: Transaction,
+    },
+    Cloud {
+        ticket: u64,
+        call: CloudCall,
+    },
+    Direct {
+        address: SocketAddr,
+        token: u64,
+        session: u64,
+        orders: Vec<Order>,
+    },
+    /// The job is over and leaves memory.
+    Over(crate::protocol::jobs::JobStatus),
+}
+
+/// What a commit or a call was for.
+#[derive(Debug)]
+pub(super) enum Ticket {
+    Create(JobId),
+    Record(JobId),
+    Move(JobId),
+    Hire(String),
+    AskHire(String),
+    Delete(Vec<MachineId>),
+    List,
+    Catalog,
+    CatalogWrite,
+}
+
+#[derive(Debug)]
+pub(super) struct Creating {
+    pub record: JobRecord,
+    pub waiting: Vec<ReplyTo>,
+}
+
+/// What a new leader reads from the store.
+#[derive(Debug, Default)]
+pub struct Loaded {
+    pub jobs: Vec<LoadedJob>,
+    pub hires: Vec<(HireRecord, u64)>,
+    pub catalog: Option<(Vec<MachineType>, u64)>,
+}
+
+#[derive(Debug)]
+pub struct LoadedJob {
+    pub record: JobRecord,
+    pub version: u64,
+    pub live_version: u64,
+    pub block_versions: Vec<u64>,
+}
+
+#[derive(Debug)]
+pub struct Config {
+    pub settings: Settings,
+    pub tuning: Tuning,
+}
+
+impl Config {
+    /// By then a worker whose last answered report arrived at the start of
+    /// this time has given up its lease and killed its tasks: its lease, the
+    /// drift of both clocks, and a margin for timer steps.
+    pub fn lease_proof(&self) -> Duration {
+        let workers = &self.settings.cluster.workers;
+        workers.lease().mul_f64(1.002) + workers.report() / 4
+    }
+}
+
+pub struct Leader {
+    pub(super) config: Arc<Config>,
+    pub(super) epoch: u64,
+    pub(super) until: Instant,
+    /// Since when this leader has answered reports without a break.
+    pub(super) since: Instant,
+    pub(super) loaded_at: Instant,
+    pub(super) jobs: HashMap<JobId, Job>,
+    pub(super) creating: HashMap<JobId, Creating>,
+    pub(super) teams: Vec<Team>,
+    pub(super) team_index: HashMap<String, usize>,
+    pub(super) machines: BTreeMap<MachineId, Machine>,
+    pub(super) hires: BTreeMap<String, Hire>,
+    pub(super) gone: HashSet<MachineId>,
+    pub(super) gone_order: VecDeque<MachineId>,
+    pub(super) catalog: Vec<MachineType>,
+    pub(super) catalog_at: Option<Instant>,
+    pub(super) catalog_version: u64,
+    pub(super) catalog_writing: bool,
+    pub(super) demand: HashMap<GroupKey, Demand>,
+    pub(super) backoff: HashMap<(usize, String, bool), Backoff>,
+    pub(super) listing: Option<ListRound>,
+    pub(super) listed_at: Option<Instant>,
+    pub(super) cloud_failed_at: Option<Instant>,
+    pub(super) queue: Vec<Ranked>,
+    pub(super) queue_at: Option<Instant>,
+    pub(super) tickets: HashMap<u64, Ticket>,
+    pub(super) next_ticket: u64,
+    pub(super) next_attempt: u32,
+    pub(super) next_hire: u32,
+    pub(super) slow_tick_at: Instant,
+    pub(super) was_whole: bool,
+    pub(super) actions: Vec<Action>,
+    pub(super) rng: SmallRng,
+    fenced: bool,
+}
+
+impl Leader {
+    pub fn new(config: Arc<Config>, epoch: u64, now: Instant, now_ms: u64, loaded: Loaded) -> Self {
+        let cluster = &config.settings.cluster;
+        let unlimited = |limit: f64| if limit > 0.0 { limit } else { f64::INFINITY };
+        let teams = cluster
+            .teams
+            .iter()
+            .map(|t| Team {
+                guaranteed: Resources { cpus: t.cpus, gpus: t.gpus, memory_gb: 0.0 },
+                limit: Resources {
+                    cpus: unlimited(t.cpus_max),
+                    gpus: unlimited(t.gpus_max),
+                    memory_gb: f64::INFINITY,
+                },
+                used: Resources::default(),
+            })
+            .collect();
+        let team_index = cluster.teams.iter().enumerate().map(|(at, t)| (t.name.clone(), at)).collect();
+        let mut leader = Leader {
+            epoch,
+            until: now,
+            since: now,
+            loaded_at: now,
+            jobs: HashMap::new(),
+            creating: HashMap::new(),
+            teams,
+            team_index,
+            machines: BTreeMap::new(),
+            hires: BTreeMap::new(),
+            gone: HashSet::new(),
+            gone_order: VecDeque::new(),
+            catalog: Vec::new(),
+            catalog_at: None,
+            catalog_version: 0,
+            catalog_writing: false,
+            demand: HashMap::new(),
+            backoff: HashMap::new(),
+            listing: None,
+            listed_at: None,
+            cloud_failed_at: None,
+            queue: Vec::new(),
+            queue_at: None,
+            tickets: HashMap::new(),
+            next_ticket: 0,
+            next_attempt: 0,
+            next_hire: 0,
+            slow_tick_at: now,
+            was_whole: false,
+            actions: Vec::new(),
+            rng: SmallRng::seed_from_u64(epoch ^ now_ms),
+            fenced: false,
+            config,
+        };
+        for job in loaded.jobs {
+            let age = Duration::from_millis(now_ms.saturating_sub(job.record.submitted_ms));
+            let submitted = now.checked_sub(age).unwrap_or(now);
+            let mut entry = Job::new(job.record, job.version, job.live_version, submitted, 0);
+            entry.block_versions = job.block_versions;
+            entry.team = leader.team_index.get(&entry.spec().team).copied();
+            leader.jobs.insert(entry.id().clone(), entry);
+        }
+        for (record, version) in loaded.hires {
+            let hire = Hire { record, version, writing: false, dirty: false, asking: false, asked_at: now };
+            leader.hires.insert(hire.record.request.name.clone(), hire);
+        }
+        if let Some((types, version)) = loaded.catalog {
+            leader.catalog = types;
+            leader.catalog_version = version;
+            leader.meet_all(now);
+        }
+        leader.request_catalog();
+        leader
+    }
+
+    /// The lease holds until then.
+    pub fn extend(&mut self, now: Instant, until: Instant) {
+        if now >= self.until {
+            self.since = now;
+        }
+        self.until = until;
+    }
+
+    /// Whether anything may be done in the epoch's name now.
+    pub fn valid(&self, now: Instant) -> bool {
+        now < self.until && !self.fenced
+    }
+
+    /// The epoch is over for certain: the leader is to be dropped.
+    pub fn is_over(&self) -> bool {
+        self.fenced
+    }
+
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    pub(super) fn answer(&mut self, to: ReplyTo, answer: Answer) {
+        self.actions.push(Action::Answer { to, answer });
+    }
+
+    pub(super) fn ticket(&mut self, ticket: Ticket) -> u64 {
+        self.next_ticket += 1;
+        self.tickets.insert(self.next_ticket, ticket);
+        self.next_ticket
+    }
+
+    pub(super) fn commit(
+        &mut self,
+        ticket: Ticket,
+        class: Class,
+        conditions: Vec<Condition>,
+        changes: Vec<Change>,
+    ) {
+        let ticket = self.ticket(ticket);
+        let transaction = Transaction { class, epoch: self.epoch, conditions, changes };
+        self.actions.push(Action::Commit { ticket, transaction });
+    }
+
+    pub(super) fn call_cloud(&mut self, ticket: Ticket, call: CloudCall) {
+        let ticket = self.ticket(ticket);
+        self.actions.push(Action::Cloud { ticket, call });
+    }
+
+    /// A transaction has ended.
+    pub fn committed(&mut self, now: Instant, ticket: u64, result: Result<u64, StoreError>) {
+        if result == Err(StoreError::Fenced) {
+            // Another leads, or will: nothing of this picture may be used.
+            self.fenced = true;
+        }
+        match self.tickets.remove(&ticket) {
+            Some(Ticket::Create(job)) => self.created(now, job, result),
+            Some(Ticket::Record(job)) => self.recorded(now, job, result),
+            Some(Ticket::Move(job)) => self.moved(job, result),
+            Some(Ticket::CatalogWrite) => {
+                self.catalog_writing = false;
+                self.catalog_version = result.unwrap_or(self.catalog_version);
+            }
+            Some(Ticket::Hire(name)) => self.hire_written(now, name, result),
+            _ => {}
+        }
+    }
+
+    /// A call to the cloud has ended.
+    pub fn cloud_done(&mut self, now: Instant, ticket: u64, result: CloudResult) {
+        let Some(ticket) = self.tickets.remove(&ticket) else { return };
+        self.cloud_answered(now, ticket, result);
+    }
+
+    /// To be called a few times a second.
+    pub fn tick(&mut self, now: Instant) {
+        if !self.valid(now) {
+            return;
+        }
+        self.flush_records(now);
+        self.prove_silent_machines(now);
+        if now >= self.slow_tick_at {
+            self.slow_tick_at = now + Duration::from_secs(1);
+            self.fleet_tick(now);
+            self.preempt(now);
+        }
+    }
+
+    // Slots: the single place where room on machines and of teams is counted.
+
+    pub(super) fn add_slot(
+        &mut self,
+        now: Instant,
+        machine: &MachineId,
+        key: SlotKey,
+        attempt: u64,
+        state: SlotState,
+        wanted: bool,
+    ) {
+        let (Some(m), Some(job)) = (self.machines.get_mut(machine), self.jobs.get_mut(&key.0)) else {
+            return;
+        };
+        let room = Resources::of(job.spec());
+        m.free.sub(&room);
+        if let Some(team) = job.team {
+            self.teams[team].used.add(&room);
+        }
+        job.slots += 1;
+        job.running += u32::from(state == SlotState::Running);
+        if wanted {
+            job.active.insert(key.1, machine.clone());
+        }
+        let slot = Slot { attempt, state, room, team: job.team, since: now, stop: None, wanted };
+        m.slots.insert(key, slot);
+    }
+
+    /// The task is provably not on the machine any more.
+    pub(super) fn remove_slot(&mut self, now: Instant, machine: &MachineId, key: &SlotKey) {
+        let Some(m) = self.machines.get_mut(machine) else { return };
+        let Some(slot) = m.slots.remove(key) else { return };
+        m.free.add(&slot.room);
+        if m.slots.is_empty() {
+            m.idle_since = now;
+            m.free = self.catalog.get(m.kind).map(Resources::of_type).unwrap_or_default();
+        }
+        if let Some(team) = slot.team {
+            self.teams[team].used.sub(&slot.room);
+        }
+        let Some(job) = self.jobs.get_mut(&key.0) else { return };
+        job.slots = job.slots.saturating_sub(1);
+        job.running = job.running.saturating_sub(u32::from(slot.state == SlotState::Running));
+        if slot.wanted && job.active.get(&key.1) == Some(machine) {
+            job.active.remove(&key.1);
+            if !job.record.done.contains(key.1) {
+                job.returned.insert(key.1);
+            }
+        }
+        if job.slots == 0 {
+            self.try_move(&key.0);
+        }
+    }
+
+    pub(super) fn clear_slots(&mut self, now: Instant, machine: &MachineId) {
+        let keys: Vec<SlotKey> =
+            self.machines.get(machine).map(|m| m.slots.keys().cloned().collect()).unwrap_or_default();
+        for key in keys {
+            self.remove_slot(now, machine, &key);
+        }
+    }
+
+    // Records.
+
+    pub(super) fn mark_done(&mut self, now: Instant, job: &JobId, task: u32) {
+        let value_kb = self.config.settings.cluster.state.value_kb;
+        let Some(j) = self.jobs.get_mut(job) else { return };
+        if j.record.final_standing().is_some() || j.is_service() || !j.record.done.insert(task) {
+            return;
+        }
+        j.returned.remove(&task);
+        j.failed_on.clear();
+        j.hold_until = None;
+        if !j.block_versions.is_empty() {
+            j.dirty_blocks.insert(task / block_size(value_kb));
+        }
+        j.dirty_since.get_or_insert(now);
+        // A settle is what the user waits for; it does not wait for a batch.
+        if j.record.complete() {
+            self.write_record(job);
+        }
+    }
+
+    /// Writes what has gathered long enough.
+    fn flush_records(&mut self, now: Instant) {
+        let tuning = &self.config.tuning;
+        let wait = self.config.settings.cluster.workers.report().mul_f64(tuning.batch_ratio);
+        let due: Vec<JobId> = self
+            .jobs
+            .values()
+            .filter(|j| j.writing.is_none() && j.dirty_since.is_some_and(|since| now >= since + wait))
+            .map(|j| j.id().clone())
+            .collect();
+        for job in due {
+            self.write_record(&job);
+        }
+    }
+
+    /// Writes a job's record, one write at a time: what changes meanwhile is
+    /// written when this one has ended.
+    pub(super) fn write_record(&mut self, job: &JobId) {
+        let value_kb = self.config.settings.cluster.state.value_kb;
+        let Some(j) = self.jobs.get_mut(job) else { return };
+        if j.writing.is_some() || j.record.final_standing().is_some() {
+            return;
+        }
+        let mut record = j.record.clone();
+        record.settled = record.complete() && !j.cancel_wanted;
+        record.cancelled = j.cancel_wanted;
+        let blocks: Vec<u32> = std::mem::take(&mut j.dirty_blocks).into_iter().collect();
+        let mut conditions = vec![Condition { key: record_key(job), version: j.version }];
+        let mut changes =
+            vec![Change::Put { key: record_key(job), value: record.encode(value_kb), lease: None }];
+        for &block in &blocks {
+            let key = block_key(job, block);
+            let version = j.block_versions.get(block as usize).copied().unwrap_or(0);
+            conditions.push(Condition { key: key.clone(), version });
+            changes.push(Change::Put { key, value: record.encode_block(block, value_kb), lease: None });
+        }
+        let class = match (record.cancelled, record.settled) {
+            (true, _) => Class::Cancel,
+            (_, true) => Class::Settle,
+            _ => Class::Progress,
+        };
+        let (cancelled, settled) = (record.cancelled, record.settled);
+        j.dirty_since = None;
+        j.writing = Some(Written { cancelled, settled, done: record.done, blocks });
+        self.commit(Ticket::Record(job.clone()), class, conditions, changes);
+    }
+
+    fn recorded(&mut self, now: Instant, job: JobId, result: Result<u64, StoreError>) {
+        let Some(j) = self.jobs.get_mut(&job) else { return };
+        let Some(written) = j.writing.take() else { return };
+        match result {
+            Ok(version) => {
+                j.version = version;
+                for block in written.blocks {
+                    if let Some(v) = j.block_versions.get_mut(block as usize) {
+                        *v = version;
+                    }
+                }
+                j.recorded = written.done;
+                j.record.cancelled = written.cancelled;
+                j.record.settled = written.settled;
+            }
+            Err(StoreError::Fenced) => return,
+            Err(error) => {
+                // Somebody else wrote under our epoch, or the service takes no
+                // such value: neither can be mended by going on.
+                tracing::error!(%job, ?error, "a job's record cannot be written; giving up the epoch");
+                self.fenced = true;
+                return;
+            }
+        }
+        let waiting = std::mem::take(&mut j.withdrawals);
+        let done = j.record.final_standing();
+        let status = j.status();
+        match done {
+            Some(standing) => {
+                tracing::debug!(%job, standing = standing.word(), "job is over");
+                for to in waiting {
+                    self.answer(to, Answer::new(200, &status.encode()));
+                }
+                self.stop_leftovers(now, &job);
+                self.try_move(&job);
+            }
+            None => {
+                j.withdrawals = waiting;
+                // A cancellation or the last task came while this was written.
+                if j.cancel_wanted || j.record.complete() {
+                    self.write_record(&job);
+                }
+            }
+        }
+    }
+
+    /// Once a job is over and nothing of it is on a machine, its row follows
+    /// the record. Until then it stays among the live, so that a new leader
+    /// knows what its tasks take.
+    pub(super) fn try_move(&mut self, job: &JobId) {
+        let Some(j) = self.jobs.get_mut(job) else { return };
+        let Some(standing) = j.record.final_standing() else { return };
+        if j.slots > 0 || j.leaving || j.writing.is_some() {
+            return;
+        }
+        // While some machine has not been heard, a task may still be there.
+        if !j.fresh && !self.was_whole {
+            return;
+        }
+        j.leaving = true;
+        let conditions = vec![
+            Condition { key: live_key(job), version: j.live_version },
+            Condition { key: over_key(job), version: 0 },
+        ];
+        let changes = vec![
+            Change::Put { key: over_key(job), value: row(standing), lease: None },
+            Change::Delete { key: live_key(job) },
+        ];
+        self.commit(Ticket::Move(job.clone()), Class::Rest, conditions, changes);
+    }
+
+    fn moved(&mut self, job: JobId, result: Result<u64, StoreError>) {
+        match result {
+            Ok(_) => {}
+            Err(StoreError::Fenced) => return,
+            Err(error) => {
+                tracing::error!(%job, ?error, "a row differs from what was read; `audit` tells more")
+            }
+        }
+        if let Some(j) = self.jobs.remove(&job) {
+            self.actions.push(Action::Over(j.status()));
+        }
+    }
+
+    /// Writes a fleet record, one write at a time.
+    pub(super) fn write_hire(&mut self, name: &str) {
+        let Some(hire) = self.hires.get_mut(name) else { return };
+        if hire.writing {
+            hire.dirty = true;
+            return;
+        }
+        hire.writing = true;
+        hire.dirty = false;
+        let key = hire_key(name);
+        let conditions = vec![Condition { key: key.clone(), version: hire.version }];
+        let empty = hire.record.machines.as_ref().is_some_and(Vec::is_empty);
+        let change = if empty {
+            Change::Delete { key }
+        } else {
+            Change::Put { key, value: hire.record.encode(), lease: None }
+        };
+        // Without the mark of a new machine nothing starts on it.
+        self.commit(Ticket::Hire(name.to_owned()), Class::Settle, conditions, vec![change]);
+    }
+
+    /// A new job as the store now has it.
+    pub(super) fn insert_job(&mut self, now: Instant, record: JobRecord, version: u64) {
+        let count = blocks(record.spec.tasks, self.config.settings.cluster.state.value_kb);
+        let mut job = Job::new(record, version, version, now, count);
+        job.fresh = true;
+        job.team = self.team_index.get(&job.spec().team).copied();
+        self.jobs.insert(job.id().clone(), job);
+        self.queue_at = None;
+    }
+
+    /// Machine types on which a task can run.
+    pub(super) fn fitting_types(&self, spec: &JobSpec) -> Vec<usize> {
+        let need = Resources::of(spec);
+        (0..self.catalog.len())
+            .filter(|&at| {
+                let kind = &self.catalog[at];
+                need.fits(&Resources::of_type(kind))
+                    && spec.types.as_ref().is_none_or(|types| types.contains(&kind.name))
+                    && spec.zone.as_ref().is_none_or(|zone| kind.zones.contains(zone))
+            })
+            .collect()
+    }
+
+    /// Whether all that may be on machines from before this epoch is known.
+    pub(super) fn is_whole(&self) -> bool {
+        self.machines.values().all(|m| m.known || !m.used)
+    }
+
+    /// Notes when the picture becomes whole; what waited for it goes on.
+    pub(super) fn check_whole(&mut self) {
+        if self.was_whole || self.catalog.is_empty() || !self.is_whole() {
+            return;
+        }
+        self.was_whole = true;
+        tracing::info!(epoch = self.epoch, "every machine is accounted for");
+        let over: Vec<JobId> = self
+            .jobs
+            .values()
+            .filter(|j| j.record.final_standing().is_some())
+            .map(|j| j.id().clone())
+            .collect();
+        for job in over {
+            self.try_move(&job);
+        }
+    }
+
+    /// For the log.
+    pub fn summary(&self) -> String {
+        let booting = self.machines.values().filter(|m| m.phase == Phase::Booting).count();
+        let pending: u32 = self.jobs.values().map(Job::pending).sum();
+        let active: usize = self.jobs.values().map(|j| j.active.len()).sum();
+        format!(
+            "epoch {} jobs {} pending {pending} active {active} machines {} booting {booting} whole {}",
+            self.epoch,
+            self.jobs.len(),
+            self.machines.len(),
+            self.was_whole
+        )
+    }
+
+    /// The standing of a job in the picture.
+    pub fn standing(&self, job: &JobId) -> Option<Standing> {
+        self.jobs.get(job).map(|j| j.status().standing)
+    }
+}
--- /dev/null
+++ b/src/coordination/mod.rs
@@ -0,0 +1,13 @@
+//! Who leads, and what the leader decides. Decisions are state machines that
+//! take time and events as input; [`node`] is the actor that feeds them.
+
+pub mod agents;
+pub mod cloud;
+pub mod election;
+pub mod fleet;
+pub mod intake;
+pub mod leader;
+pub mod model;
+pub mod node;
+pub mod reconciler;
+pub mod scheduler;
--- /dev/null
+++ b/src/coordination/model.rs
@@ -0,0 +1,335 @@
+//! What the leader holds in memory: jobs, machines, teams.
+
+use std::collections::{BTreeSet, HashMap, VecDeque};
+
+use tokio::time::Instant;
+
+use crate::protocol::cloud::MachineType;
+use crate::protocol::jobs::{Form, JobId, JobSpec, JobStatus, Standing};
+use crate::protocol::workers::MachineId;
+use crate::storage::done_set::DoneSet;
+use crate::storage::records::{HireRecord, JobRecord};
+
+/// Where an answer goes; given out by the node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct ReplyTo(pub u64);
+
+/// Amounts that a task takes, or that a machine or team has.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Resources {
+    pub cpus: f64,
+    pub gpus: f64,
+    pub memory_gb: f64,
+}
+
+/// Sums of decimals are off by a little; this much is forgiven.
+const EPSILON: f64 = 1e-6;
+
+impl Resources {
+    pub fn of(spec: &JobSpec) -> Self {
+        Resources { cpus: spec.cpus, gpus: spec.gpus, memory_gb: spec.memory_gb }
+    }
+
+    pub fn of_type(kind: &MachineType) -> Self {
+        Resources { cpus: kind.cpus, gpus: kind.gpus, memory_gb: kind.memory_gb }
+    }
+
+    pub fn fits(&self, room: &Resources) -> bool {
+        self.cpus <= room.cpus + EPSILON
+            && self.gpus <= room.gpus + EPSILON
+            && self.memory_gb <= room.memory_gb + EPSILON
+    }
+
+    /// How many such tasks the room takes.
+    pub fn times_in(&self, room: &Resources) -> u32 {
+        let part = |need: f64, have: f64| {
+            if need <= 0.0 { f64::from(u32::MAX) } else { ((have + EPSILON) / need).floor().max(0.0) }
+        };
+        part(self.cpus, room.cpus)
+            .min(part(self.gpus, room.gpus))
+            .min(part(self.memory_gb, room.memory_gb))
+            .min(f64::from(u32::MAX)) as u32
+    }
+
+    pub fn add(&mut self, other: &Resources) {
+        self.cpus += other.cpus;
+        self.gpus += other.gpus;
+        self.memory_gb += other.memory_gb;
+    }
+
+    pub fn sub(&mut self, other: &Resources) {
+        self.cpus -= other.cpus;
+        self.gpus -= other.gpus;
+        self.memory_gb -= other.memory_gb;
+    }
+}
+
+#[derive(Debug)]
+pub struct Team {
+    pub guaranteed: Resources,
+    /// Infinite where the settings give no limit.
+    pub limit: Resources,
+    /// Everything that may be on a machine: sent, fetching, running, saving,
+    /// unreachable.
+    pub used: Resources,
+}
+
+/// What a write of a job's record contains, to be taken over once committed.
+#[derive(Debug)]
+pub struct Written {
+    pub cancelled: bool,
+    pub settled: bool,
+    pub done: DoneSet,
+    pub blocks: Vec<u32>,
+}
+
+#[derive(Debug)]
+pub struct Job {
+    /// The record as it should be. `cancelled` and `settled` are set only
+    /// once they are committed.
+    pub record: JobRecord,
+    /// Done tasks as committed.
+    pub recorded: DoneSet,
+    pub version: u64,
+    pub block_versions: Vec<u64>,
+    pub live_version: u64,
+    pub dirty_blocks: BTreeSet<u32>,
+    pub dirty_since: Option<Instant>,
+    pub writing: Option<Written>,
+    pub leaving: bool,
+    /// Users who wait for a cancellation.
+    pub withdrawals: Vec<ReplyTo>,
+    pub cancel_wanted: bool,
+    pub team: Option<usize>,
+    /// Accepted in this epoch: no task of it can be on an unheard machine.
+    pub fresh: bool,
+    pub submitted: Instant,
+    pub active: HashMap<u32, MachineId>,
+    /// Tasks that came back from a machine and wait again.
+    pub returned: BTreeSet<u32>,
+    /// Tasks from here on have not been looked at yet.
+    pub next: u32,
+    /// Slots on any machine, also such that should not be there.
+    pub slots: u32,
+    pub running: u32,
+    /// Failures on different machines since a task last succeeded.
+    pub failed_on: BTreeSet<MachineId>,
+    pub hold_until: Option<Instant>,
+}
+
+impl Job {
+    pub fn new(record: JobRecord, version: u64, live_version: u64, submitted: Instant, blocks: u32) -> Self {
+        let recorded = record.done.clone();
+        Job {
+            recorded,
+            version,
+            block_versions: vec![0; blocks as usize],
+            live_version,
+            dirty_blocks: BTreeSet::new(),
+            dirty_since: None,
+            writing: None,
+            leaving: false,
+            withdrawals: Vec::new(),
+            cancel_wanted: false,
+            team: None,
+            fresh: false,
+            submitted,
+            active: HashMap::new(),
+            returned: BTreeSet::new(),
+            next: 0,
+            slots: 0,
+            running: 0,
+            failed_on: BTreeSet::new(),
+            hold_until: None,
+            record,
+        }
+    }
+
+    pub fn id(&self) -> &JobId {
+        &self.record.spec.id
+    }
+
+    pub fn spec(&self) -> &JobSpec {
+        &self.record.spec
+    }
+
+    /// Whether tasks may still be started. A wanted cancellation ends that at
+    /// once; whether it is committed only matters for what users are told.
+    pub fn is_live(&self) -> bool {
+        self.record.final_standing().is_none() && !self.cancel_wanted
+    }
+
+    pub fn status(&self) -> JobStatus {
+        let mut status = self.record.status();
+        if status.standing == Standing::Queued && self.running > 0 {
+            status.standing = Standing::Running;
+            status.running = self.running;
+        }
+        status
+    }
+
+    /// Tasks neither done nor on a machine.
+    pub fn pending(&self) -> u32 {
+        if !self.is_live() {
+            return 0;
+        }
+        (self.spec().tasks - self.record.done.len()).saturating_sub(self.active.len() as u32)
+    }
+
+    /// Tasks not done yet.
+    pub fn unfinished(&self) -> u32 {
+        self.spec().tasks - self.record.done.len()
+    }
+
+    fn is_free(&self, task: u32) -> bool {
+        !self.record.done.contains(task) && !self.active.contains_key(&task)
+    }
+
+    /// The next task that may be started.
+    pub fn next_pending(&mut self) -> Option<u32> {
+        while let Some(&task) = self.returned.first() {
+            if self.is_free(task) {
+                return Some(task);
+            }
+            self.returned.pop_first();
+        }
+        while self.next < self.spec().tasks {
+            if self.is_free(self.next) {
+                return Some(self.next);
+            }
+            self.next += 1;
+        }
+        None
+    }
+
+    pub fn due(&self) -> Option<Instant> {
+        let after = self.spec().deadline_s?;
+        // Far enough away not to overflow, and to mean "never".
+        Some(self.submitted + std::time::Duration::from_secs_f64(after.min(1e7)))
+    }
+
+    pub fn is_service(&self) -> bool {
+        self.spec().form == Form::Service
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum SlotState {
+    /// The start went out in the answer to the report with this number.
+    Sent {
+        seq: u64,
+    },
+    Fetching,
+    Running,
+    Saving,
+}
+
+/// Room on a machine that a task takes, or may take.
+#[derive(Debug, Clone)]
+pub struct Slot {
+    pub attempt: u64,
+    pub state: SlotState,
+    pub room: Resources,
+    pub team: Option<usize>,
+    /// Since when it has been in this state.
+    pub since: Instant,
+    /// Seconds of grace with which it is to stop.
+    pub stop: Option<f64>,
+    /// The job counts on this slot; otherwise the task should not be here.
+    pub wanted: bool,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// Rented, nothing heard of it yet.
+    Booting,
+    Up,
+    /// Its deletion has been asked for.
+    Deleting,
+}
+
+pub type SlotKey = (JobId, u32);
+
+#[derive(Debug)]
+pub struct Machine {
+    pub id: MachineId,
+    pub kind: usize,
+    pub zone: String,
+    pub spot: bool,
+    /// The fleet record it stands in.
+    pub hire: String,
+    pub phase: Phase,
+    pub address: String,
+    pub rented: Instant,
+    pub up_at: Option<Instant>,
+    /// Newest report taken: (session, sequence).
+    pub seen: Option<(u64, u64)>,
+    /// Reports of earlier sessions are void.
+    pub least_session: u64,
+    pub heard: Option<Instant>,
+    /// Arrival of the last report that got a 200.
+    pub answered: Option<Instant>,
+    /// What is on it is known: from a report under this epoch's token, or by
+    /// proof that nothing is.
+    pub known: bool,
+    /// The record says that starts may have been sent to it.
+    pub used: bool,
+    /// That mark is on its way to the record.
+    pub marking: bool,
+    /// A deletion is under way.
+    pub delete_asked: bool,
+    pub taken_at: Option<Instant>,
+    pub slots: HashMap<SlotKey, Slot>,
+    pub free: Resources,
+    /// Tasks are on it whose job is unknown; nothing is placed beside them.
+    pub foreign: bool,
+    /// Images believed to be cached, most recent first.
+    pub images: VecDeque<(String, f64)>,
+    /// Jobs whose tasks failed here since the last success, and how often.
+    pub failures: Vec<JobId>,
+    pub condemned: bool,
+    pub idle_since: Instant,
+    /// Times that a list young enough to show it did not.
+    pub unlisted: u32,
+    pub listed: bool,
+}
+
+impl Machine {
+    pub fn has_image(&self, image: &str) -> bool {
+        self.images.iter().any(|(name, _)| name == image)
+    }
+
+    pub fn note_image(&mut self, image: &str, size_gb: f64, cache_gb: f64) {
+        if self.images.front().is_some_and(|(name, _)| name == image) {
+            return;
+        }
+        self.images.retain(|(name, _)| name != image);
+        self.images.push_front((image.to_owned(), size_gb));
+        let mut total: f64 = self.images.iter().map(|(_, gb)| gb).sum();
+        while total > cache_gb && self.images.len() > 1 {
+            total -= self.images.pop_back().map_or(0.0, |(_, gb)| gb);
+        }
+    }
+
+    /// Whether tasks may be placed on it.
+    pub fn open(&self) -> bool {
+        self.phase == Phase::Up
+            && self.known
+            && self.used
+            && !self.condemned
+            && !self.foreign
+            && self.taken_at.is_none()
+    }
+}
+
+/// A fleet record and the state of its writing.
+#[derive(Debug)]
+pub struct Hire {
+    pub record: HireRecord,
+    pub version: u64,
+    pub writing: bool,
+    pub dirty: bool,
+    /// The cloud is being asked.
+    pub asking: bool,
+    pub asked_at: Instant,
+}
--- /dev/null
+++ b/src/coordination/scheduler.rs
@@ -0,0 +1,331 @@
+//! What runs where: the queue, guarantees, sampled best fit and preemption.
+//!
+//! Placing happens when a machine reports, because only the answer to its
+//! report can carry a start. The reporting machine is compared with a sample of
+//! others that last reported room; it gets the task unless one of those is
+//! clearly the better place, which will then take it with its own next report.
+
+use std::cmp::Ordering;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use rand::seq::IteratorRandom;
+use tokio::time::Instant;
+
+use super::leader::Leader;
+use super::model::{Job, Machine, Resources, SlotKey, SlotState};
+use crate::protocol::cloud::MachineType;
+use crate::protocol::jobs::{JobId, Priority, TaskId};
+use crate::protocol::workers::{MachineId, Order};
+
+/// A waiting job's place in the queue.
+#[derive(Debug, Clone)]
+pub(super) struct Ranked {
+    job: JobId,
+    guaranteed: bool,
+    priority: Priority,
+    due: Instant,
+}
+
+impl Ranked {
+    fn order(&self, other: &Self) -> Ordering {
+        other
+            .guaranteed
+            .cmp(&self.guaranteed)
+            .then(other.priority.cmp(&self.priority))
+            .then(self.due.cmp(&other.due))
+            .then_with(|| self.job.cmp(&other.job))
+    }
+}
+
+impl Leader {
+    /// Orders the waiting jobs: guarantees first, then priority, then the time
+    /// by which a job must start to be done when it is due, or its age.
+    fn rank(&mut self, now: Instant) {
+        let fresh_enough = self.config.settings.cluster.workers.report() / 12;
+        if self.queue_at.is_some_and(|at| now < at + fresh_enough) {
+            return;
+        }
+        self.queue_at = Some(now);
+        let guaranteed = self.within_guarantees();
+        let mut queue: Vec<Ranked> = self
+            .jobs
+            .values()
+            .filter(|j| j.pending() > 0)
+            .map(|j| Ranked {
+                job: j.id().clone(),
+                guaranteed: guaranteed.contains_key(j.id()),
+                priority: j.spec().priority,
+                due: latest_start(j, now),
+            })
+            .collect();
+        queue.sort_by(Ranked::order);
+        self.queue = queue;
+    }
+
+    /// Jobs that fit into their team's guarantee together with the team's
+    /// earlier unfinished jobs, with what they may still take.
+    fn within_guarantees(&self) -> HashMap<JobId, Resources> {
+        let mut by_team: HashMap<usize, Vec<&Job>> = HashMap::new();
+        for job in self.jobs.values().filter(|j| j.is_live()) {
+            if let Some(team) = job.team.filter(|&t| self.teams[t].guaranteed != Resources::default()) {
+                by_team.entry(team).or_default().push(job);
+            }
+        }
+        let mut found = HashMap::new();
+        for (team, mut jobs) in by_team {
+            jobs.sort_by_key(|j| (j.submitted, j.id().clone()));
+            let guaranteed = self.teams[team].guaranteed;
+            let mut total = Resources::default();
+            for job in jobs {
+                let tasks = f64::from(job.unfinished());
+                let need = Resources {
+                    cpus: job.spec().cpus * tasks,
+                    gpus: job.spec().gpus * tasks,
+                    memory_gb: 0.0,
+                };
+                total.add(&need);
+                if total.fits(&guaranteed) {
+                    found.insert(job.id().clone(), need);
+                }
+            }
+        }
+        found
+    }
+
+    /// Starts tasks on a machine that has just reported.
+    pub(super) fn fill(
+        &mut self,
+        now: Instant,
+        machine: &MachineId,
+        seq: u64,
+        most: usize,
+        orders: &mut Vec<Order>,
+    ) {
+        if !self.machines.get(machine).is_some_and(Machine::open) {
+            return;
+        }
+        self.rank(now);
+        let queue = std::mem::take(&mut self.queue);
+        let mut started = 0;
+        for ranked in &queue {
+            let room = self.machines.get(machine).map(|m| m.free).unwrap_or_default();
+            if started >= most || room.cpus < 1e-3 {
+                break;
+            }
+            while started < most && self.may_start(now, &ranked.job, machine) {
+                let Some(job) = self.jobs.get_mut(&ranked.job) else { break };
+                let Some(index) = job.next_pending() else { break };
+                let Some(counter) = self.next_attempt.checked_add(1) else {
+                    tracing::error!("attempt numbers of this epoch are used up");
+                    break;
+                };
+                self.next_attempt = counter;
+                // Epochs differ, and counters within one: never used twice.
+                let attempt = self.epoch << 32 | u64::from(counter);
+                let key = (ranked.job.clone(), index);
+                self.add_slot(now, machine, key, attempt, SlotState::Sent { seq }, true);
+                orders.push(Order::Start { task: TaskId { job: ranked.job.clone(), index }, attempt });
+                started += 1;
+            }
+        }
+        self.queue = queue;
+    }
+
+    /// Whether the job's next task may and should start on this machine.
+    fn may_start(&mut self, now: Instant, job: &JobId, machine: &MachineId) -> bool {
+        let Some(j) = self.jobs.get(job) else { return false };
+        if j.pending() == 0 || j.hold_until.is_some_and(|until| now < until && !j.active.is_empty()) {
+            return false;
+        }
+        // A task that may still run on a machine not heard of yet must wait.
+        // Jobs accepted in this epoch cannot be there.
+        if !self.was_whole && !j.fresh {
+            return false;
+        }
+        let Some(m) = self.machines.get(machine) else { return false };
+        if !self.eligible(j, m) || !self.team_has_room(j) {
+            return false;
+        }
+        let here = self.score(now, j, m, now);
+        let pending = j.pending();
+        let sample = self.config.tuning.sample.saturating_sub(1);
+        let report = self.config.settings.cluster.workers.report();
+        let need = Resources::of(j.spec());
+        let others: Vec<&Machine> = self
+            .machines
+            .values()
+            .filter(|o| o.id != *machine && o.open() && need.fits(&o.free))
+            // One that has missed its time to report may be dead.
+            .filter(|o| o.heard.is_some_and(|h| now < h + report.mul_f64(1.5)))
+            .choose_multiple(&mut self.rng, sample);
+        let better = others.into_iter().filter(|o| self.eligible(j, o)).find(|o| {
+            let next_report = o.heard.map_or(now, |h| (h + report).max(now));
+            self.score(now, j, o, next_report) > here + 0.5 && need.times_in(&o.free) >= pending
+        });
+        better.is_none()
+    }
+
+    /// What the rules demand of a machine for the job's next task.
+    fn eligible(&self, job: &Job, machine: &Machine) -> bool {
+        let spec = job.spec();
+        let Some(kind) = self.catalog.get(machine.kind) else { return false };
+        if !machine.open()
+            || !Resources::of(spec).fits(&machine.free)
+            || (machine.spot && !spec.spot)
+            || spec.zone.as_ref().is_some_and(|z| *z != machine.zone)
+            || spec.types.as_ref().is_some_and(|t| !t.contains(&kind.name))
+            || machine.slots.keys().any(|(j, t)| j == job.id() && !job.active.contains_key(t))
+        {
+            return false;
+        }
+        if !spec.one_zone && !spec.spread {
+            return true;
+        }
+        // Every task that may be on a machine counts, wherever it is in its
+        // life; so do those that should not be there.
+        let zones = || {
+            self.machines
+                .values()
+                .flat_map(|m| m.slots.keys().filter(|k| k.0 == spec.id).map(|_| m.zone.as_str()))
+        };
+        if spec.one_zone && zones().any(|zone| zone != machine.zone) {
+            return false;
+        }
+        if spec.spread {
+            let here = zones().filter(|zone| *zone == machine.zone).count() as u32;
+            return here < spec.tasks.div_ceil(2);
+        }
+        true
+    }
+
+    fn team_has_room(&self, job: &Job) -> bool {
+        let Some(team) = job.team.and_then(|t| self.teams.get(t)) else { return false };
+        let mut used = team.used;
+        if !self.was_whole {
+            // What is on unheard machines may all be this team's.
+            for machine in self.machines.values().filter(|m| m.used && !m.known) {
+                if let Some(kind) = self.catalog.get(machine.kind) {
+                    used.add(&Resources::of_type(kind));
+                }
+            }
+        }
+        used.add(&Resources::of(job.spec()));
+        used.fits(&team.limit)
+    }
+
+    /// How good a place is, in seconds saved: larger is better.
+    fn score(&self, now: Instant, job: &Job, machine: &Machine, report: Instant) -> f64 {
+        let spec = job.spec();
+        let Some(kind) = self.catalog.get(machine.kind) else { return f64::MIN };
+        let wait = report.saturating_duration_since(now).as_secs_f64();
+        let fetch = if machine.has_image(&spec.image) || kind.fetch_gb_per_s <= 0.0 {
+            0.0
+        } else {
+            spec.image_gb / kind.fetch_gb_per_s
+        };
+        let left = machine.free.cpus - spec.cpus;
+        let emptiness = if kind.cpus > 0.0 { left / kind.cpus } else { 0.0 };
+        // Work that may run on spot machines leaves the others to work that
+        // may not.
+        let dear = if spec.spot && !machine.spot { 2.0 } else { 0.0 };
+        -(wait + fetch + 1.5 * emptiness + dear)
+    }
+
+    /// Frees room for work within its guarantee from work beyond another's,
+    /// and for work of higher priority from lower. Only tasks that lose little.
+    pub(super) fn preempt(&mut self, now: Instant) {
+        if !self.was_whole || self.config.tuning.preempt_loss_s <= 0.0 {
+            return;
+        }
+        self.rank(now);
+        let patience = self.config.settings.cluster.workers.report().mul_f64(1.5);
+        let queue = self.queue.clone();
+        let mut stops: Vec<(MachineId, SlotKey, f64)> = Vec::new();
+        for ranked in queue.iter().take(16) {
+            let Some(job) = self.jobs.get(&ranked.job) else { continue };
+            if now < job.submitted + patience || !self.team_has_room(job) {
+                continue;
+            }
+            let need = Resources::of(job.spec());
+            // Room that is there, or is being made, comes first.
+            let free: u32 = self
+                .machines
+                .values()
+                .filter(|m| self.eligible(job, m))
+                .map(|m| need.times_in(&m.free))
+                .fold(0, u32::saturating_add);
+            let coming =
+                self.machines.values().flat_map(|m| m.slots.values()).filter(|s| s.stop.is_some()).count();
+            let mut missing = job.pending().saturating_sub(free).saturating_sub(coming as u32).min(8);
+            if missing == 0 {
+                continue;
+            }
+            for (machine, key, loss) in self.victims(now, ranked, job) {
+                if missing == 0 {
+                    break;
+                }
+                if loss <= self.config.tuning.preempt_loss_s {
+                    let grace = self.jobs.get(&key.0).map_or(0.0, |j| j.spec().save_s);
+                    stops.push((machine, key, grace));
+                    missing -= 1;
+                }
+            }
+            if !stops.is_empty() {
+                break;
+            }
+        }
+        for (machine, key, grace_s) in stops {
+            self.order_stop(&machine, &key, grace_s);
+        }
+    }
+
+    /// Tasks that may give way to the job, those that lose least first.
+    fn victims(&self, now: Instant, ranked: &Ranked, job: &Job) -> Vec<(MachineId, SlotKey, f64)> {
+        let need = Resources::of(job.spec());
+        let mut found = Vec::new();
+        for machine in self.machines.values().filter(|m| m.open() && (!m.spot || job.spec().spot)) {
+            let fits = job.spec().zone.as_ref().is_none_or(|z| *z == machine.zone)
+                && self.catalog.get(machine.kind).is_some_and(|k: &MachineType| {
+                    job.spec().types.as_ref().is_none_or(|t| t.contains(&k.name))
+                });
+            if !fits {
+                continue;
+            }
+            for (key, slot) in &machine.slots {
+                let Some(victim) = self.jobs.get(&key.0) else { continue };
+                let borrowed = slot.team != job.team
+                    && slot.team.and_then(|t| self.teams.get(t)).is_some_and(|t| {
+                        !t.used.fits(&Resources { memory_gb: f64::INFINITY, ..t.guaranteed })
+                    });
+                let lower = victim.spec().priority < ranked.priority;
+                let may = lower || (ranked.guaranteed && borrowed);
+                if !may || slot.stop.is_some() || victim.is_service() || slot.room.cpus < need.cpus {
+                    continue;
+                }
+                found.push((machine.id.clone(), key.clone(), loss_s(now, victim, slot.state, slot.since)));
+            }
+        }
+        found.sort_by(|a, b| a.2.total_cmp(&b.2));
+        found
+    }
+}
+
+/// Work that is lost if a task is stopped now.
+fn loss_s(now: Instant, job: &Job, state: SlotState, since: Instant) -> f64 {
+    match state {
+        SlotState::Running if job.spec().checkpoint_s > 0.0 => job.spec().save_s,
+        SlotState::Running => now.saturating_duration_since(since).as_secs_f64(),
+        _ => 0.0,
+    }
+}
+
+/// When a job's tasks must start for it to be done in time. Without a
+/// deadline its age decides, behind a horizon of its own estimate.
+fn latest_start(job: &Job, _now: Instant) -> Instant {
+    let estimate = Duration::from_secs_f64(job.spec().estimate_s.min(1e6));
+    match job.due() {
+        Some(due) => due.checked_sub(estimate).unwrap_or(due).max(job.submitted),
+        None => job.submitted + estimate,
+    }
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,5 @@
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    shedtally::cli::main(std::env::args_os())
+}
--- /dev/null
+++ b/src/protocol/jobs.rs
@@ -0,0 +1,309 @@
+//! What users send and are told.
+
+use std::fmt;
+use std::sync::Arc;
+
+use ciborium::value::Value;
+
+use super::cbor::{Fields, Malformed, MapBuilder, texts};
+
+/// Most tasks that one job may have.
+pub const MAX_TASKS: u32 = 100_000;
+/// Longest name taken from a user. Keeps a record well inside one value.
+const MAX_NAME: usize = 128;
+/// Most machine types a job may list.
+const MAX_TYPES: usize = 16;
+const ID_PREFIX: &str = "job-";
+
+/// A job's id, in the one form that the platform allows.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct JobId(Arc<str>);
+
+impl JobId {
+    pub fn parse(text: &str) -> Option<Self> {
+        let rest = text.strip_prefix(ID_PREFIX)?;
+        let valid = (1..=64).contains(&rest.len())
+            && rest.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-' || b == b'_');
+        valid.then(|| JobId(text.into()))
+    }
+
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for JobId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// One task of a job.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct TaskId {
+    pub job: JobId,
+    pub index: u32,
+}
+
+impl TaskId {
+    pub fn parse(text: &str) -> Option<Self> {
+        let (job, index) = text.split_once('/')?;
+        let index = index.parse().ok().filter(|&i| i < MAX_TASKS)?;
+        Some(TaskId { job: JobId::parse(job)?, index })
+    }
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.job, self.index)
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Form {
+    /// Independent tasks, each of which runs to its end.
+    Array,
+    /// Replicas that run until the job is cancelled.
+    Service,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Priority {
+    BestEffort,
+    Standard,
+    High,
+    Critical,
+}
+
+/// What a user asked for.
+#[derive(Debug, Clone, PartialEq)]
+pub struct JobSpec {
+    pub id: JobId,
+    pub class: String,
+    pub team: String,
+    pub form: Form,
+    pub priority: Priority,
+    pub tasks: u32,
+    pub cpus: f64,
+    pub gpus: f64,
+    pub memory_gb: f64,
+    pub image: String,
+    pub image_gb: f64,
+    pub types: Option<Vec<String>>,
+    pub zone: Option<String>,
+    pub one_zone: bool,
+    pub spread: bool,
+    pub spot: bool,
+    pub estimate_s: f64,
+    pub checkpoint_s: f64,
+    pub save_s: f64,
+    pub deadline_s: Option<f64>,
+}
+
+fn name(fields: &Fields<'_>, key: &'static str) -> Result<String, Malformed> {
+    checked_name(fields.text(key)?, key)
+}
+
+fn checked_name(text: &str, key: &'static str) -> Result<String, Malformed> {
+    let valid = !text.is_empty() && text.len() <= MAX_NAME && !text.chars().any(char::is_control);
+    if valid { Ok(text.to_owned()) } else { Err(Malformed::Invalid(key)) }
+}
+
+impl JobSpec {
+    /// Reads and checks a submission.
+    pub fn decode(value: &Value) -> Result<Self, Malformed> {
+        let f = Fields::of(value)?;
+        let types = f.opt_texts("builds")?;
+        if let Some(types) = &types {
+            if types.is_empty() || types.len() > MAX_TYPES {
+                return Err(Malformed::Invalid("builds"));
+            }
+            types.iter().try_for_each(|t| checked_name(t, "builds").map(drop))?;
+        }
+        let tasks = u32::try_from(f.count("sheets")?).map_err(|_| Malformed::Invalid("sheets"))?;
+        if tasks == 0 || tasks > MAX_TASKS {
+            return Err(Malformed::Invalid("sheets"));
+        }
+        Ok(JobSpec {
+            id: JobId::parse(f.text("nameId")?).ok_or(Malformed::Invalid("nameId"))?,
+            class: name(&f, "docket")?,
+            team: name(&f, "crew")?,
+            form: match f.text("form")? {
+                "array" => Form::Array,
+                "daemon" => Form::Service,
+                _ => return Err(Malformed::Invalid("form")),
+            },
+            priority: match f.text("urgency")? {
+                "critical" => Priority::Critical,
+                "high" => Priority::High,
+                "standard" => Priority::Standard,
+                "best_effort" => Priority::BestEffort,
+                _ => return Err(Malformed::Invalid("urgency")),
+            },
+            tasks,
+            cpus: f.amount("cores")?,
+            gpus: f.opt_amount("accelerators")?.unwrap_or(0.0),
+            memory_gb: f.amount("ramGb")?,
+            image: name(&f, "bundle")?,
+            image_gb: f.amount("pullGb")?,
+            types,
+            zone: f.opt_text("hall")?.map(|z| checked_name(z, "hall")).transpose()?,
+            one_zone: f.opt_bool("together")?.unwrap_or(false),
+            spread: f.opt_bool("scatter")?.unwrap_or(false),
+            spot: f.opt_bool("loaners")?.unwrap_or(false),
+            estimate_s: f.opt_amount("reckonS")?.unwrap_or(0.0),
+            checkpoint_s: f.opt_amount("bookmarkS")?.unwrap_or(0.0),
+            save_s: f.opt_amount("stashS")?.unwrap_or(0.0),
+            deadline_s: f.opt_amount("dueS")?,
+        })
+    }
+
+    /// The same fields as in a submission; used for the record.
+    pub fn encode(&self) -> MapBuilder {
+        MapBuilder::new()
+            .set("nameId", self.id.as_str())
+            .set("docket", self.class.as_str())
+            .set("crew", self.team.as_str())
+            .set("form", if self.form == Form::Array { "array" } else { "daemon" })
+            .set(
+                "urgency",
+                match self.priority {
+                    Priority::Critical => "critical",
+                    Priority::High => "high",
+                    Priority::Standard => "standard",
+                    Priority::BestEffort => "best_effort",
+                },
+            )
+            .set("sheets", self.tasks)
+            .set("cores", self.cpus)
+            .set("accelerators", self.gpus)
+            .set("ramGb", self.memory_gb)
+            .set("bundle", self.image.as_str())
+            .set("pullGb", self.image_gb)
+            .set_some("builds", self.types.as_ref().map(|t| texts(t.iter().map(String::as_str))))
+            .set_some("hall", self.zone.as_deref())
+            .set("together", self.one_zone)
+            .set("scatter", self.spread)
+            .set("loaners", self.spot)
+            .set("reckonS", self.estimate_s)
+            .set("bookmarkS", self.checkpoint_s)
+            .set("stashS", self.save_s)
+            .set_some("dueS", self.deadline_s)
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    Queued,
+    Running,
+    Done,
+    Cancelled,
+}
+
+impl Standing {
+    pub fn word(self) -> &'static str {
+        match self {
+            Standing::Queued => "queued",
+            Standing::Running => "running",
+            Standing::Done => "done",
+            Standing::Cancelled => "cancelled",
+        }
+    }
+
+    /// Whether it can never change again.
+    pub fn is_final(self) -> bool {
+        matches!(self, Standing::Done | Standing::Cancelled)
+    }
+}
+
+/// What a user is told of a job.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct JobStatus {
+    pub id: JobId,
+    pub standing: Standing,
+    pub done: u32,
+    pub running: u32,
+}
+
+impl JobStatus {
+    pub fn encode(&self) -> Value {
+        MapBuilder::new()
+            .set("nameId", self.id.as_str())
+            .set("standing", self.standing.word())
+            .set("done", self.done)
+            .set("running", self.running)
+            .build()
+    }
+}
+
+/// The body of a refusal: a short reason.
+pub fn refusal(reason: &str) -> Value {
+    MapBuilder::new().set("error", reason).build()
+}
+
+#[cfg(test)]
+pub mod tests {
+    use super::*;
+
+    /// A valid submission to vary in tests.
+    pub fn sample(id: &str, team: &str, tasks: u32, cpus: f64) -> JobSpec {
+        JobSpec {
+            id: JobId::parse(id).expect("valid id"),
+            class: "build".into(),
+            team: team.into(),
+            form: Form::Array,
+            priority: Priority::High,
+            tasks,
+            cpus,
+            gpus: 0.0,
+            memory_gb: 1.0,
+            image: "img-1".into(),
+            image_gb: 0.5,
+            types: None,
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot: true,
+            estimate_s: 20.0,
+            checkpoint_s: 0.0,
+            save_s: 0.0,
+            deadline_s: None,
+        }
+    }
+
+    #[test]
+    fn a_submission_survives_its_record() {
+        let mut spec = sample("job-000412", "vision", 16, 8.0);
+        spec.types = Some(vec!["g8".into()]);
+        spec.deadline_s = Some(900.0);
+        assert_eq!(JobSpec::decode(&spec.encode().build()), Ok(spec));
+    }
+
+    #[test]
+    fn bad_fields_are_named() {
+        let good = sample("job-1", "vision", 1, 1.0).encode();
+        let cases: [(&str, Value, &'static str); 8] = [
+            ("nameId", "task-1".into(), "nameId"),
+            ("nameId", format!("job-{}", "9".repeat(65)).into(), "nameId"),
+            ("crew", "x".repeat(129).into(), "crew"),
+            ("sheets", 0.into(), "sheets"),
+            ("sheets", 2.5.into(), "sheets"),
+            ("cores", f64::NAN.into(), "cores"),
+            ("ramGb", (-1.0).into(), "ramGb"),
+            ("form", "ensemble".into(), "form"),
+        ];
+        for (key, bad, field) in cases {
+            let Value::Map(mut entries) = good.clone().build() else { panic!("a map") };
+            entries.iter_mut().filter(|(k, _)| k.as_text() == Some(key)).for_each(|(_, v)| *v = bad.clone());
+            assert_eq!(JobSpec::decode(&Value::Map(entries)), Err(Malformed::Invalid(field)), "{key}");
+        }
+    }
+
+    #[test]
+    fn task_names_are_checked() {
+        assert!(TaskId::parse("job-1/99999").is_some());
+        for bad in ["job-1", "job-1/100000", "job-1/-1", "x/1", "job-/1", "job-1/1/2"] {
+            assert!(TaskId::parse(bad).is_none(), "{bad}");
+        }
+    }
+}
--- /dev/null
+++ b/src/protocol/workers.rs
@@ -0,0 +1,162 @@
+//! Reports of workers and the orders they are given.
+
+use std::fmt;
+use std::sync::Arc;
+
+use ciborium::value::Value;
+
+use super::cbor::{Fields, Malformed, MapBuilder};
+use super::jobs::TaskId;
+
+/// Most tasks read from one report; a body of 64 KiB cannot hold more.
+const MAX_REPORTED: usize = 4096;
+
+/// A machine's name, as given by the cloud.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct MachineId(Arc<str>);
+
+impl MachineId {
+    pub fn parse(text: &str) -> Option<Self> {
+        let valid = (1..=96).contains(&text.len())
+            && text.bytes().all(|b| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.'));
+        valid.then(|| MachineId(text.into()))
+    }
+
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for MachineId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ExitCause {
+    Done,
+    Stopped { saved: bool },
+    Error,
+    NoRoom,
+    Busy,
+    Unknown,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TaskState {
+    Fetching,
+    Running,
+    Saving,
+    Exited(ExitCause),
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TaskReport {
+    pub task: TaskId,
+    pub attempt: u64,
+    pub state: TaskState,
+}
+
+/// A worker's report of itself and its tasks.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Report {
+    pub machine: MachineId,
+    pub address: String,
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+    pub session: u64,
+    pub seq: u64,
+    pub token: u64,
+    pub notice_s: Option<f64>,
+    pub tasks: Vec<TaskReport>,
+}
+
+impl Report {
+    pub fn decode(value: &Value) -> Result<Self, Malformed> {
+        let f = Fields::of(value)?;
+        let listed = f.opt_list("sheets")?.unwrap_or_default();
+        if listed.len() > MAX_REPORTED {
+            return Err(Malformed::Invalid("sheets"));
+        }
+        Ok(Report {
+            machine: MachineId::parse(f.text("bench")?).ok_or(Malformed::Invalid("bench"))?,
+            address: f.text("address")?.to_owned(),
+            machine_type: f.text("build")?.to_owned(),
+            zone: f.text("hall")?.to_owned(),
+            spot: f.opt_bool("loaners")?.unwrap_or(false),
+            session: f.count("shift")?,
+            seq: f.count("tick")?,
+            token: f.count("baton")?,
+            notice_s: f.opt_amount("recallS")?,
+            tasks: listed.iter().map(decode_task).collect::<Result<_, _>>()?,
+        })
+    }
+}
+
+fn decode_task(value: &Value) -> Result<TaskReport, Malformed> {
+    let f = Fields::of(value)?;
+    let state = match f.text("standing")? {
+        "fetching" => TaskState::Fetching,
+        "running" | "gathering" => TaskState::Running,
+        "flushing" => TaskState::Saving,
+        "exited" => TaskState::Exited(match f.text("cause")? {
+            "done" => ExitCause::Done,
+            "halted" => ExitCause::Stopped { saved: f.opt_bool("saved")?.unwrap_or(false) },
+            "no_room" => ExitCause::NoRoom,
+            "in_use" => ExitCause::Busy,
+            "unknown" => ExitCause::Unknown,
+            // A cause this version does not know is a failure of some kind.
+            _ => ExitCause::Error,
+        }),
+        _ => return Err(Malformed::Invalid("standing")),
+    };
+    Ok(TaskReport {
+        task: TaskId::parse(f.text("sheet")?).ok_or(Malformed::Invalid("sheet"))?,
+        attempt: f.count("try")?,
+        state,
+    })
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Order {
+    Start { task: TaskId, attempt: u64 },
+    Stop { task: TaskId, attempt: u64, grace_s: f64 },
+    Forget { task: TaskId, attempt: u64 },
+}
+
+impl Order {
+    fn encode(&self) -> Value {
+        let (verb, task, attempt, grace) = match self {
+            Order::Start { task, attempt } => ("start", task, attempt, None),
+            Order::Stop { task, attempt, grace_s } => ("stop", task, attempt, Some(*grace_s)),
+            Order::Forget { task, attempt } => ("reap", task, attempt, None),
+        };
+        MapBuilder::new()
+            .set("verb", verb)
+            .set("sheet", task.to_string())
+            .set("try", *attempt)
+            .set_some("leewayS", grace)
+            .build()
+    }
+}
+
+fn encode_orders(orders: &[Order]) -> Value {
+    Value::Array(orders.iter().map(Order::encode).collect())
+}
+
+/// The answer to a report.
+pub fn report_answer(token: u64, orders: &[Order]) -> Value {
+    MapBuilder::new().set("baton", token).set("orders", encode_orders(orders)).build()
+}
+
+/// The body of a redirection to the controller that acts for all.
+pub fn report_elsewhere(controller: Option<&str>) -> Value {
+    MapBuilder::new().set_some("foreman", controller).build()
+}
+
+/// Orders sent straight to a worker.
+pub fn direct_orders(token: u64, session: u64, orders: &[Order]) -> Value {
+    MapBuilder::new().set("baton", token).set("shift", session).set("orders", encode_orders(orders)).build()
+}
--- /dev/null
+++ b/src/storage/mod.rs
@@ -0,0 +1,6 @@
+//! What outlives a process: the state service, and the shape of what is kept
+//! there.
+
+pub mod done_set;
+pub mod records;
+pub mod service;
--- /dev/null
+++ b/src/storage/records.rs
@@ -0,0 +1,259 @@
+//! The shape of what is kept: job records, summary rows and fleet records.
+//!
+//! * `leader`: who leads; its version is the epoch.
+//! * `rec/ID`: a job's record: what was asked for, its cancellation, its
+//!   settle and, for jobs of moderate size, its done tasks.
+//! * `set/ID/N`: the N-th block of done tasks of a larger job.
+//! * `live/ID`, `over/ID`: a job's summary row; `live/` is what a takeover
+//!   scans, `over/` is history.
+//! * `catalog`: the machine types as last seen.
+//! * `hire/NAME`: a rental request and, once answered, its machines.
+
+use std::collections::BTreeSet;
+
+use ciborium::value::Value;
+use thiserror::Error;
+
+use super::done_set::{BadSet, DoneSet};
+use crate::protocol::cbor::{Fields, Malformed, MapBuilder, texts};
+use crate::protocol::cloud::HireRequest;
+use crate::protocol::jobs::{Form, JobId, JobSpec, JobStatus, Standing};
+use crate::protocol::workers::MachineId;
+
+pub const LEADER: &str = "leader";
+pub const CATALOG: &str = "catalog";
+pub const LIVE: &str = "live/";
+pub const OVER: &str = "over/";
+pub const HIRES: &str = "hire/";
+pub const RECORDS: &str = "rec/";
+
+pub fn record_key(job: &JobId) -> String {
+    format!("{RECORDS}{job}")
+}
+
+pub fn block_key(job: &JobId, block: u32) -> String {
+    format!("set/{job}/{block}")
+}
+
+pub fn live_key(job: &JobId) -> String {
+    format!("{LIVE}{job}")
+}
+
+pub fn over_key(job: &JobId) -> String {
+    format!("{OVER}{job}")
+}
+
+pub fn hire_key(name: &str) -> String {
+    format!("{HIRES}{name}")
+}
+
+#[derive(Debug, Error)]
+pub enum BadRecord {
+    #[error(transparent)]
+    Malformed(#[from] Malformed),
+    #[error(transparent)]
+    Set(#[from] BadSet),
+}
+
+/// How many tasks go into one block, so that even a bitmap of it takes at
+/// most half a value: the rest is room for the description.
+pub fn block_size(value_kb: f64) -> u32 {
+    ((value_kb * 1024.0 / 2.0) as u32).saturating_mul(6).max(6)
+}
+
+/// Blocks beside the record; none while the set fits into the record itself.
+pub fn blocks(tasks: u32, value_kb: f64) -> u32 {
+    let size = block_size(value_kb);
+    if tasks <= size { 0 } else { tasks.div_ceil(size) }
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub struct JobRecord {
+    pub spec: JobSpec,
+    /// Time of day of the submission, in milliseconds.
+    pub submitted_ms: u64,
+    pub cancelled: bool,
+    pub settled: bool,
+    pub done: DoneSet,
+}
+
+impl JobRecord {
+    pub fn new(spec: JobSpec, submitted_ms: u64) -> Self {
+        let done = DoneSet::new(spec.tasks);
+        JobRecord { spec, submitted_ms, cancelled: false, settled: false, done }
+    }
+
+    pub fn encode(&self, value_kb: f64) -> Value {
+        let inline = blocks(self.spec.tasks, value_kb) == 0;
+        MapBuilder::new()
+            .set("spec", self.spec.encode().build())
+            .set("at", self.submitted_ms)
+            .set("cancelled", self.cancelled)
+            .set("settled", self.settled)
+            .set_some("done", inline.then(|| self.done.encode(0, self.spec.tasks)))
+            .build()
+    }
+
+    pub fn encode_block(&self, block: u32, value_kb: f64) -> Value {
+        let size = block_size(value_kb);
+        let start = block * size;
+        MapBuilder::new()
+            .set("from", start)
+            .set("done", self.done.encode(start, start.saturating_add(size)))
+            .build()
+    }
+
+    pub fn decode(value: &Value) -> Result<Self, BadRecord> {
+        let f = Fields::of(value)?;
+        let spec = JobSpec::decode(f.get("spec").ok_or(Malformed::Missing("spec"))?)?;
+        let mut done = DoneSet::new(spec.tasks);
+        if let Some(text) = f.opt_text("done")? {
+            done.decode_into(0, text)?;
+        }
+        Ok(JobRecord {
+            spec,
+            submitted_ms: f.count("at")?,
+            cancelled: f.bool("cancelled")?,
+            settled: f.bool("settled")?,
+            done,
+        })
+    }
+
+    pub fn add_block(&mut self, value: &Value) -> Result<(), BadRecord> {
+        let f = Fields::of(value)?;
+        let start = u32::try_from(f.count("from")?).map_err(|_| BadSet)?;
+        Ok(self.done.decode_into(start, f.text("done")?)?)
+    }
+
+    /// The final standing, if the record says so. A cancellation recorded
+    /// after the last task ended is never written, so the two exclude each
+    /// other; were both there, the settle came first.
+    pub fn final_standing(&self) -> Option<Standing> {
+        match (self.settled, self.cancelled) {
+            (true, _) => Some(Standing::Done),
+            (false, true) => Some(Standing::Cancelled),
+            (false, false) => None,
+        }
+    }
+
+    /// What the record alone supports telling a user.
+    pub fn status(&self) -> JobStatus {
+        let standing = self.final_standing().unwrap_or(Standing::Queued);
+        let done = if self.settled { self.spec.tasks } else { self.done.len() };
+        JobStatus { id: self.spec.id.clone(), standing, done, running: 0 }
+    }
+
+    /// Whether every task is done. Services never complete.
+    pub fn complete(&self) -> bool {
+        self.spec.form == Form::Array && self.done.is_full()
+    }
+}
+
+/// A summary row.
+pub fn row(standing: Standing) -> Value {
+    MapBuilder::new().set("standing", standing.word()).build()
+}
+
+pub fn decode_row(value: &Value) -> Result<Standing, Malformed> {
+    match Fields::of(value)?.text("standing")? {
+        "queued" => Ok(Standing::Queued),
+        "running" => Ok(Standing::Running),
+        "done" => Ok(Standing::Done),
+        "cancelled" => Ok(Standing::Cancelled),
+        _ => Err(Malformed::Invalid("standing")),
+    }
+}
+
+/// A rental request. `machines` is `None` until the cloud has answered.
+#[derive(Debug, Clone, PartialEq)]
+pub struct HireRecord {
+    pub request: HireRequest,
+    pub machines: Option<Vec<MachineId>>,
+    /// Machines to which starts may have been sent. A machine is entered here
+    /// before its first start, so a new leader knows that no other can hold
+    /// tasks and need not wait for it.
+    pub used: BTreeSet<MachineId>,
+}
+
+impl HireRecord {
+    pub fn encode(&self) -> Value {
+        let machines = self.machines.as_ref().map(|m| texts(m.iter().map(MachineId::as_str)));
+        MapBuilder::new()
+            .set("request", self.request.encode())
+            .set_some("machines", machines)
+            .set("used", texts(self.used.iter().map(MachineId::as_str)))
+            .build()
+    }
+
+    pub fn decode(value: &Value) -> Result<Self, Malformed> {
+        let f = Fields::of(value)?;
+        let r = Fields::of(f.get("request").ok_or(Malformed::Missing("request"))?)?;
+        let parse = |name: &String| MachineId::parse(name).ok_or(Malformed::Invalid("machines"));
+        let machines = f.opt_texts("machines")?.map(|names| names.iter().map(parse).collect());
+        let used = f.opt_texts("used")?.unwrap_or_default();
+        Ok(HireRecord {
+            request: HireRequest {
+                name: r.text("hire")?.to_owned(),
+                machine_type: r.text("build")?.to_owned(),
+                zone: r.text("hall")?.to_owned(),
+                spot: r.bool("loaners")?,
+                count: u32::try_from(r.count("howMany")?).map_err(|_| Malformed::Invalid("howMany"))?,
+            },
+            machines: machines.transpose()?,
+            used: used.iter().map(parse).collect::<Result<_, _>>()?,
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::protocol::cbor::json_size;
+    use crate::protocol::jobs::tests::sample;
+
+    /// The worst case of the done set: a hundred thousand tasks, every second
+    /// one done. No value may pass the limit, and all must be read back.
+    #[test]
+    fn a_hundred_thousand_tasks_half_done_fit_their_values() {
+        let value_kb = 8.0;
+        let mut record = JobRecord::new(sample("job-1", "red", 100_000, 1.0), 0);
+        (0..100_000).step_by(2).for_each(|n| assert!(record.done.insert(n)));
+        let mut back = JobRecord::decode(&record.encode(value_kb)).expect("readable");
+        let count = blocks(100_000, value_kb);
+        for block in 0..count {
+            let value = record.encode_block(block, value_kb);
+            assert!(json_size(&value) < 8 * 1024, "block {block} takes {}", json_size(&value));
+            back.add_block(&value).expect("readable");
+        }
+        assert!(count >= 2);
+        assert_eq!(back, record);
+    }
+
+    #[test]
+    fn the_largest_set_kept_in_the_record_fits_with_the_description() {
+        let tasks = block_size(8.0);
+        let mut spec = sample("job-1", "red", tasks, 1.0);
+        spec.class = "c".repeat(128);
+        spec.types = Some(vec!["t".repeat(128); 16]);
+        let mut record = JobRecord::new(spec, u64::MAX);
+        (0..tasks).step_by(2).for_each(|n| assert!(record.done.insert(n)));
+        let value = record.encode(8.0);
+        assert!(json_size(&value) < 8 * 1024, "{}", json_size(&value));
+        assert_eq!(JobRecord::decode(&value).expect("readable"), record);
+    }
+
+    #[test]
+    fn an_unanswered_hire_is_told_from_an_empty_one() {
+        let request = HireRequest {
+            name: "7-1".into(),
+            machine_type: "t".into(),
+            zone: "z".into(),
+            spot: true,
+            count: 2,
+        };
+        for machines in [None, Some(vec![]), MachineId::parse("vm-1").map(|m| vec![m])] {
+            let record = HireRecord { request: request.clone(), machines, used: BTreeSet::new() };
+            assert_eq!(HireRecord::decode(&record.encode()), Ok(record));
+        }
+    }
+}
--- /dev/null
+++ b/src/transport/peer.rs
@@ -0,0 +1,113 @@
+//! The gRPC link between controllers.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tonic::transport::{Channel, Endpoint, Server};
+use tonic::{Request, Response, Status};
+
+mod wire {
+    #![allow(clippy::all, clippy::unwrap_used, missing_docs)]
+    tonic::include_proto!("shedtally.peer.v1");
+}
+
+use wire::peer_client::PeerClient;
+use wire::peer_server::{Peer, PeerServer};
+use wire::{JobRequest, Reply, SubmitRequest};
+
+/// What a controller asks of the leading one.
+#[derive(Debug, Clone)]
+pub enum PeerCall {
+    Submit(Vec<u8>),
+    Poll(String),
+    Withdraw(String),
+}
+
+/// The leading controller's answer, to be handed on unchanged.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PeerReply {
+    pub status: u16,
+    pub body: Vec<u8>,
+    pub retry_after_s: Option<u32>,
+}
+
+/// Answers other controllers' calls.
+pub trait PeerHandler: Clone + Send + Sync + 'static {
+    fn handle(&self, call: PeerCall) -> impl Future<Output = PeerReply> + Send;
+}
+
+struct Service<H>(H);
+
+impl<H: PeerHandler> Service<H> {
+    async fn answer(&self, call: PeerCall) -> Result<Response<Reply>, Status> {
+        let reply = self.0.handle(call).await;
+        Ok(Response::new(Reply {
+            status: u32::from(reply.status),
+            body: reply.body,
+            retry_after_s: reply.retry_after_s.unwrap_or(0),
+        }))
+    }
+}
+
+#[tonic::async_trait]
+impl<H: PeerHandler> Peer for Service<H> {
+    async fn submit(&self, request: Request<SubmitRequest>) -> Result<Response<Reply>, Status> {
+        self.answer(PeerCall::Submit(request.into_inner().body)).await
+    }
+
+    async fn poll(&self, request: Request<JobRequest>) -> Result<Response<Reply>, Status> {
+        self.answer(PeerCall::Poll(request.into_inner().job)).await
+    }
+
+    async fn withdraw(&self, request: Request<JobRequest>) -> Result<Response<Reply>, Status> {
+        self.answer(PeerCall::Withdraw(request.into_inner().job)).await
+    }
+}
+
+/// Serves other controllers until the listener fails.
+pub async fn serve<H: PeerHandler>(
+    address: SocketAddr,
+    body_limit: usize,
+    handler: H,
+) -> Result<(), tonic::transport::Error> {
+    let service = PeerServer::new(Service(handler)).max_decoding_message_size(2 * body_limit);
+    Server::builder().tcp_nodelay(true).add_service(service).serve(address).await
+}
+
+/// A link to one other controller, connected when first used.
+#[derive(Debug, Clone)]
+pub struct PeerLink {
+    client: PeerClient<Channel>,
+    deadline: Duration,
+}
+
+impl PeerLink {
+    pub fn new(address: SocketAddr, deadline: Duration) -> Result<Self, tonic::transport::Error> {
+        let endpoint = Endpoint::from_shared(format!("http://{address}"))?
+            .connect_timeout(deadline)
+            .tcp_nodelay(true)
+            // A cut swallows packets without closing the connection; without
+            // this every later call would hang on the dead link.
+            .http2_keep_alive_interval(deadline * 2)
+            .keep_alive_timeout(deadline)
+            .keep_alive_while_idle(false);
+        Ok(PeerLink { client: PeerClient::new(endpoint.connect_lazy()), deadline })
+    }
+
+    /// Asks the other controller; `None` if it gave no answer in time.
+    pub async fn call(&self, call: PeerCall) -> Option<PeerReply> {
+        let mut client = self.client.clone();
+        let exchange = async {
+            match call {
+                PeerCall::Submit(body) => client.submit(SubmitRequest { body }).await,
+                PeerCall::Poll(job) => client.poll(JobRequest { job }).await,
+                PeerCall::Withdraw(job) => client.withdraw(JobRequest { job }).await,
+            }
+        };
+        let reply = tokio::time::timeout(self.deadline, exchange).await.ok()?.ok()?.into_inner();
+        let status = u16::try_from(reply.status).ok().filter(|s| (200..600).contains(s))?;
+        let retry_after_s = Some(reply.retry_after_s).filter(|&s| s > 0);
+        Some(PeerReply { status, body: reply.body, retry_after_s })
+    }
+}
