--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -385,6 +385,10 @@
             job.active.remove(&key.1);
             if !job.record.done.contains(key.1) {
                 job.returned.insert(key.1);
+                // A job that had nothing waiting is not in the queue.
+                if job.pending() == 1 {
+                    self.queue_at = None;
+                }
             }
         }
         if job.slots == 0 {
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -11,3 +11,6 @@
 pub mod node;
 pub mod reconciler;
 pub mod scheduler;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/coordination/tests.rs
@@ -0,0 +1,634 @@
+//! The leader against scripted workers, state service and cloud, on a clock
+//! that only moves when told.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::agents::ReportReply;
+use super::cloud::{CloudCall, CloudError, CloudReply};
+use super::leader::{Action, Answer, Config, Leader, Loaded, LoadedJob};
+use super::model::ReplyTo;
+use crate::policy::Tuning;
+use crate::protocol::cbor::{Fields, decode};
+use crate::protocol::cloud::{HireRequest, ListPage, Listed, ListedState, MachineType};
+use crate::protocol::jobs::tests::sample;
+use crate::protocol::jobs::{JobId, JobSpec, Priority, Standing, TaskId};
+use crate::protocol::state::Change;
+use crate::protocol::workers::{ExitCause, MachineId, Order, Report, TaskReport, TaskState};
+use crate::settings;
+use crate::storage::records::{HireRecord, JobRecord, live_key, over_key, record_key};
+use crate::storage::service::{StoreError, Transaction};
+
+const EPOCH: u64 = 40;
+const MS: u64 = 1_000_000;
+
+struct Rig {
+    leader: Leader,
+    now: Instant,
+    config: Arc<Config>,
+    version: u64,
+    answers: Vec<(ReplyTo, Answer)>,
+    lookups: Vec<(JobId, Answer)>,
+    commits: Vec<(u64, Transaction)>,
+    direct: Vec<Order>,
+    cloud: Vec<(u64, CloudCall)>,
+    replies: u64,
+}
+
+fn id(text: &str) -> JobId {
+    JobId::parse(text).expect("valid id")
+}
+
+fn machine(text: &str) -> MachineId {
+    MachineId::parse(text).expect("valid name")
+}
+
+fn catalog() -> Vec<MachineType> {
+    vec![MachineType {
+        name: "m8".into(),
+        cpus: 8.0,
+        gpus: 0.0,
+        memory_gb: 32.0,
+        cache_gb: 20.0,
+        fetch_gb_per_s: 1.0,
+        price: 1.0,
+        spot_price: 0.4,
+        boot_s: 30.0,
+        zones: vec!["z1".into(), "z2".into()],
+    }]
+}
+
+/// A fleet record of one machine in zone `z1`.
+fn hired(name: &str, used: bool) -> (HireRecord, u64) {
+    let request = HireRequest {
+        name: format!("1-{name}"),
+        machine_type: "m8".into(),
+        zone: if name.ends_with('b') { "z2".into() } else { "z1".into() },
+        spot: false,
+        count: 1,
+    };
+    let id = machine(name);
+    (
+        HireRecord {
+            request,
+            machines: Some(vec![id.clone()]),
+            used: used.then_some(id).into_iter().collect(),
+        },
+        3,
+    )
+}
+
+fn loaded_job(spec: JobSpec) -> LoadedJob {
+    LoadedJob { record: JobRecord::new(spec, MS), version: 5, live_version: 5, block_versions: Vec::new() }
+}
+
+impl Rig {
+    /// A leader that has just read these records.
+    fn new(jobs: Vec<LoadedJob>, hires: Vec<(HireRecord, u64)>) -> Self {
+        let config = Arc::new(Config { settings: settings::tests::sample(), tuning: Tuning::default() });
+        let now = Instant::now();
+        let loaded = Loaded { jobs, hires, catalog: Some((catalog(), 2)) };
+        let mut leader = Leader::new(config.clone(), EPOCH, now, MS, loaded);
+        leader.extend(now, now + Duration::from_secs(3600));
+        let mut rig = Rig {
+            leader,
+            now,
+            config,
+            version: 100,
+            answers: Vec::new(),
+            lookups: Vec::new(),
+            commits: Vec::new(),
+            direct: Vec::new(),
+            cloud: Vec::new(),
+            replies: 0,
+        };
+        rig.collect();
+        rig
+    }
+
+    /// With machines that are up, known and recorded as used.
+    fn with_machines(names: &[&str]) -> Self {
+        let mut rig = Rig::new(Vec::new(), names.iter().map(|n| hired(n, true)).collect());
+        for name in names {
+            rig.beat(name, 1, EPOCH, vec![]);
+        }
+        rig
+    }
+
+    fn collect(&mut self) {
+        for action in self.leader.take_actions() {
+            match action {
+                Action::Answer { to, answer } => self.answers.push((to, answer)),
+                Action::LookUp { job, otherwise, .. } => self.lookups.push((job, otherwise)),
+                Action::Commit { ticket, transaction } => self.commits.push((ticket, transaction)),
+                Action::Cloud { ticket, call } => self.cloud.push((ticket, call)),
+                Action::Direct { orders, .. } => self.direct.extend(orders),
+                Action::Over(_) => {}
+            }
+        }
+    }
+
+    /// The state service carries out all that waits; what that entails, too.
+    fn commit_all(&mut self) -> Vec<Transaction> {
+        let mut all = Vec::new();
+        while !self.commits.is_empty() {
+            for (ticket, transaction) in std::mem::take(&mut self.commits) {
+                self.version += 1;
+                self.leader.committed(self.now, ticket, Ok(self.version));
+                all.push(transaction);
+            }
+            self.collect();
+        }
+        all
+    }
+
+    fn fail_commit(&mut self, error: StoreError) {
+        let (ticket, _) = self.commits.remove(0);
+        self.leader.committed(self.now, ticket, Err(error));
+        self.collect();
+    }
+
+    fn pass(&mut self, seconds: f64) {
+        self.now += Duration::from_secs_f64(seconds);
+        self.leader.tick(self.now);
+        self.collect();
+    }
+
+    fn report(
+        &mut self,
+        name: &str,
+        session: u64,
+        seq: u64,
+        token: u64,
+        tasks: Vec<TaskReport>,
+    ) -> ReportReply {
+        let report = Report {
+            machine: machine(name),
+            address: "127.0.0.1:9".into(),
+            machine_type: "m8".into(),
+            zone: if name.ends_with('b') { "z2".into() } else { "z1".into() },
+            spot: false,
+            session,
+            seq,
+            token,
+            notice_s: None,
+            tasks,
+        };
+        let reply = self.leader.report(self.now, &report);
+        self.collect();
+        reply
+    }
+
+    /// A report of the first session; returns the orders.
+    fn beat(&mut self, name: &str, seq: u64, token: u64, tasks: Vec<TaskReport>) -> Vec<Order> {
+        match self.report(name, 1, seq, token, tasks) {
+            ReportReply::Orders { token: EPOCH, orders } => orders,
+            other => panic!("no answer: {other:?}"),
+        }
+    }
+
+    fn submit(&mut self, spec: JobSpec) -> ReplyTo {
+        self.replies += 1;
+        let to = ReplyTo(self.replies);
+        self.leader.submit(self.now, MS, to, spec);
+        self.collect();
+        to
+    }
+
+    fn accept(&mut self, spec: JobSpec) {
+        let to = self.submit(spec);
+        self.commit_all();
+        assert_eq!(self.answer(to).map(|a| a.status), Some(201));
+    }
+
+    fn withdraw(&mut self, job: &str) -> ReplyTo {
+        self.replies += 1;
+        let to = ReplyTo(self.replies);
+        assert!(self.leader.withdraw(self.now, to, &id(job)));
+        self.collect();
+        to
+    }
+
+    fn answer(&self, to: ReplyTo) -> Option<Answer> {
+        self.answers.iter().find(|(t, _)| *t == to).map(|(_, a)| a.clone())
+    }
+
+    fn standing(&self, job: &str) -> Option<Standing> {
+        self.leader.poll(self.now, &id(job)).map(|s| s.standing)
+    }
+}
+
+fn starts(orders: &[Order]) -> Vec<(TaskId, u64)> {
+    orders
+        .iter()
+        .filter_map(|o| match o {
+            Order::Start { task, attempt } => Some((task.clone(), *attempt)),
+            _ => None,
+        })
+        .collect()
+}
+
+fn listed(start: &(TaskId, u64), state: TaskState) -> TaskReport {
+    TaskReport { task: start.0.clone(), attempt: start.1, state }
+}
+
+const DONE: TaskState = TaskState::Exited(ExitCause::Done);
+
+fn told(answer: &Answer) -> String {
+    let value = decode(&answer.body).expect("CBOR");
+    Fields::of(&value).and_then(|f| f.text("standing").map(str::to_owned)).expect("a standing")
+}
+
+#[test]
+fn a_fenced_write_ends_the_epoch_and_tells_the_user_nothing_untrue() {
+    let mut rig = Rig::with_machines(&["vm-1"]);
+    let to = rig.submit(sample("job-1", "red", 1, 1.0));
+    assert_eq!(rig.commits[0].1.epoch, EPOCH);
+    rig.fail_commit(StoreError::Fenced);
+    assert_eq!(rig.answer(to).map(|a| (a.status, a.retry_after_s)), Some((503, Some(1))));
+    assert!(rig.leader.is_over());
+    // Nothing of the stale epoch gets out any more.
+    assert_eq!(rig.report("vm-1", 1, 9, EPOCH, vec![]), ReportReply::Elsewhere);
+    let late = rig.submit(sample("job-2", "red", 1, 1.0));
+    assert_eq!(rig.answer(late).map(|a| a.status), Some(503));
+    assert!(rig.commits.is_empty());
+}
+
+#[test]
+fn past_its_lease_a_leader_answers_only_what_is_final() {
+    let mut rig = Rig::with_machines(&["vm-1"]);
+    rig.accept(sample("job-1", "red", 1, 1.0));
+    rig.accept(sample("job-2", "red", 1, 1.0));
+    rig.withdraw("job-2");
+    // Cancelled but still on a machine, so still in the picture.
+    let orders = rig.beat("vm-1", 2, EPOCH, vec![]);
+    assert_eq!(starts(&orders).len(), 1);
+    let end = rig.now + Duration::from_secs(1);
+    rig.leader.extend(rig.now, end);
+    rig.now = end;
+    assert!(!rig.leader.valid(rig.now));
+    assert_eq!(rig.standing("job-1"), None);
+    assert_eq!(rig.report("vm-1", 1, 3, EPOCH, vec![]), ReportReply::Elsewhere);
+    // Renewed after all, with the key unchanged: the epoch goes on.
+    rig.leader.extend(rig.now, rig.now + Duration::from_secs(9));
+    assert_eq!(rig.standing("job-1"), Some(Standing::Queued));
+}
+
+#[test]
+fn after_a_takeover_old_jobs_wait_for_a_silent_machine_and_new_ones_do_not() {
+    let old = loaded_job(sample("job-1", "red", 2, 1.0));
+    let mut rig = Rig::new(vec![old], vec![hired("vm-1", true), hired("vm-2", true), hired("vm-3", false)]);
+    // The first report does not carry the epoch: nothing in it is trusted.
+    assert_eq!(rig.beat("vm-1", 5, EPOCH - 1, vec![]), vec![]);
+    assert_eq!(rig.beat("vm-1", 6, EPOCH, vec![]), vec![], "vm-2 may hold both tasks");
+    rig.accept(sample("job-2", "red", 1, 1.0));
+    let orders = rig.beat("vm-1", 7, EPOCH, vec![]);
+    assert_eq!(starts(&orders).iter().map(|s| s.0.job.clone()).collect::<Vec<_>>(), [id("job-2")]);
+    // vm-3 never had a start, so only vm-2 is waited for: its whole lease.
+    let proof = rig.config.lease_proof().as_secs_f64();
+    let running = listed(&starts(&orders)[0], TaskState::Running);
+    let mut seq = 8;
+    while rig.now + Duration::from_secs(3) < rig.leader.loaded_at + Duration::from_secs_f64(proof) {
+        rig.pass(2.0);
+        assert_eq!(rig.beat("vm-1", seq, EPOCH, vec![running.clone()]), vec![]);
+        seq += 1;
+    }
+    rig.pass(3.1);
+    assert_eq!(starts(&rig.beat("vm-1", seq, EPOCH, vec![running])).len(), 2);
+}
+
+#[test]
+fn a_new_leader_adopts_what_it_finds_and_starts_only_the_rest() {
+    let old = loaded_job(sample("job-1", "red", 3, 1.0));
+    let mut rig = Rig::new(vec![old], vec![hired("vm-1", true)]);
+    let task = |index| TaskId { job: id("job-1"), index };
+    let found = vec![
+        TaskReport { task: task(0), attempt: 7, state: TaskState::Running },
+        TaskReport { task: task(2), attempt: 9, state: DONE },
+    ];
+    assert_eq!(rig.beat("vm-1", 5, EPOCH - 1, found.clone()), vec![]);
+    let orders = rig.beat("vm-1", 6, EPOCH, found);
+    let started = starts(&orders);
+    assert_eq!(started.len(), 1);
+    assert_eq!(started[0].0, task(1));
+    assert!(started[0].1 > EPOCH, "attempts of an epoch are above all earlier ones");
+    assert!(!orders.iter().any(|o| matches!(o, Order::Forget { .. })), "done is not recorded yet");
+}
+
+#[test]
+fn old_repeated_and_foreign_reports_change_nothing() {
+    let mut rig = Rig::with_machines(&["vm-1"]);
+    rig.accept(sample("job-1", "red", 1, 1.0));
+    let start = starts(&rig.beat("vm-1", 5, EPOCH, vec![])).remove(0);
+    // Held back and older than the one that was answered with a start.
+    for seq in [4, 5] {
+        assert_eq!(rig.beat("vm-1", seq, EPOCH, vec![]), vec![]);
+    }
+    assert_eq!(rig.beat("vm-1", 6, EPOCH, vec![listed(&start, TaskState::Running)]), vec![]);
+    assert_eq!(rig.standing("job-1"), Some(Standing::Running));
+    // A higher token than ours: another leads, and a 200 would be dropped.
+    assert_eq!(rig.report("vm-1", 1, 7, EPOCH + 1, vec![]), ReportReply::Elsewhere);
+}
+
+#[test]
+fn a_task_is_not_started_again_while_it_may_be_somewhere() {
+    let mut rig = Rig::with_machines(&["vm-1", "vm-2b"]);
+    rig.accept(sample("job-1", "red", 1, 1.0));
+    let first = starts(&rig.beat("vm-1", 5, EPOCH, vec![])).remove(0);
+    // vm-1 falls silent: the start may have arrived, so vm-2b gets nothing
+    // before vm-1's whole lease is over.
+    let proof = rig.config.lease_proof().as_secs_f64();
+    let mut seq = 5;
+    let begin = rig.now;
+    while (rig.now - begin).as_secs_f64() + 2.0 < proof {
+        rig.pass(2.0);
+        seq += 1;
+        assert_eq!(starts(&rig.beat("vm-2b", seq, EPOCH, vec![])), vec![]);
+    }
+    rig.pass(2.1);
+    let second = starts(&rig.beat("vm-2b", seq + 1, EPOCH, vec![])).remove(0);
+    assert_eq!(second.0, first.0);
+    assert_ne!(second.1, first.1, "an attempt number is never used twice");
+    // A report held back from the ended session changes nothing.
+    rig.beat("vm-1", 6, EPOCH, vec![listed(&first, TaskState::Running)]);
+    assert_eq!(starts(&rig.beat("vm-2b", seq + 2, EPOCH, vec![listed(&second, TaskState::Running)])), vec![]);
+}
+
+#[test]
+fn a_start_whose_answer_was_lost_is_sent_again_under_a_new_attempt() {
+    let mut rig = Rig::with_machines(&["vm-1"]);
+    rig.accept(sample("job-1", "red", 1, 1.0));
+    let first = starts(&rig.beat("vm-1", 5, EPOCH, vec![])).remove(0);
+    // The next report does not list it: the worker dropped the answer.
+    let second = starts(&rig.beat("vm-1", 6, EPOCH, vec![])).remove(0);
+    assert_eq!(first.0, second.0);
+    assert_ne!(first.1, second.1);
+    // A new session begins without tasks.
+    let reply = rig.report("vm-1", 2, 1, EPOCH, vec![]);
+    assert!(matches!(reply, ReportReply::Orders { orders, .. } if starts(&orders).len() == 1));
+}
+
+#[test]
+fn deletion_answered_by_the_cloud_frees_what_was_on_the_machine() {
+    let mut rig = Rig::with_machines(&["vm-1", "vm-2b"]);
+    rig.accept(sample("job-1", "red", 1, 1.0));
+    starts(&rig.beat("vm-1", 5, EPOCH, vec![])).remove(0);
+    rig.cloud.clear();
+    let silent = rig.config.settings.cluster.workers.lease_s * rig.config.tuning.silence_ratio;
+    let mut seq = 5;
+    for _ in 0..((silent / 2.0) as u64 + 2) {
+        rig.pass(2.0);
+        seq += 1;
+        assert_eq!(starts(&rig.beat("vm-2b", seq, EPOCH, vec![])), vec![]);
+    }
+    let (ticket, _) = rig
+        .cloud
+        .iter()
+        .find(|(_, call)| *call == CloudCall::Delete(vec![machine("vm-1")]))
+        .cloned()
+        .expect("the silent machine is returned");
+    // Unanswered, it proves nothing.
+    rig.leader.cloud_done(rig.now, ticket, Err(CloudError::Failed));
+    assert_eq!(starts(&rig.beat("vm-2b", seq + 1, EPOCH, vec![])), vec![]);
+    rig.cloud.clear();
+    rig.pass(1.1);
+    let (ticket, _) =
+        rig.cloud.iter().find(|(_, c)| matches!(c, CloudCall::Delete(_))).cloned().expect("again");
+    rig.leader.cloud_done(rig.now, ticket, Ok(CloudReply::Deleted));
+    assert_eq!(starts(&rig.beat("vm-2b", seq + 2, EPOCH, vec![])).len(), 1);
+    assert_eq!(
+        rig.report("vm-1", 1, 6, EPOCH, vec![]),
+        ReportReply::Elsewhere,
+        "a late copy revives nothing"
+    );
+}
+
+#[test]
+fn limits_count_tasks_that_cannot_be_reached() {
+    // Team red may use 16 CPUs; two tasks of 6 fit, a third does not, whether
+    // or not the machine that has them answers.
+    let mut rig = Rig::with_machines(&["vm-1", "vm-2b", "vm-3"]);
+    rig.accept(sample("job-1", "red", 3, 6.0));
+    assert_eq!(starts(&rig.beat("vm-1", 5, EPOCH, vec![])).len(), 1);
+    assert_eq!(starts(&rig.beat("vm-2b", 5, EPOCH, vec![])).len(), 1);
+    for seq in 5..9 {
+        rig.pass(2.0);
+        assert_eq!(starts(&rig.beat("vm-3", seq, EPOCH, vec![])), vec![]);
+    }
+    let usage = rig.leader.teams[0].used.cpus;
+    assert!((usage - 12.0).abs() < 1e-9);
+}
+
+#[test]
+fn unheard_machines_count_against_limits_at_the_worst() {
+    let mut rig = Rig::new(Vec::new(), vec![hired("vm-1", true), hired("vm-2", true), hired("vm-3", true)]);
+    rig.beat("vm-1", 1, EPOCH, vec![]);
+    rig.accept(sample("job-1", "red", 1, 1.0));
+    // 16 CPUs on the two unheard machines may all be the team's.
+    assert_eq!(starts(&rig.beat("vm-1", 2, EPOCH, vec![])), vec![]);
+    assert_eq!(starts(&rig.beat("vm-2", 1, EPOCH, vec![])).len(), 1);
+}
+
+#[test]
+fn a_cancellation_overtakes_a_start_in_flight() {
+    let mut rig = Rig::with_machines(&["vm-1"]);
+    rig.accept(sample("job-1", "red", 2, 8.0));
+    let start = starts(&rig.beat("vm-1", 5, EPOCH, vec![])).remove(0);
+    let to = rig.withdraw("job-1");
+    assert_eq!(rig.answer(to), None, "not told before it is recorded");
+    let written = rig.commit_all();
+    assert_eq!(told(&rig.answer(to).expect("answered")), "cancelled");
+    // A start may still be on its way: the row stays among the live.
+    assert!(!written.iter().any(|t| t.changes.iter().any(|c| c.key() == over_key(&id("job-1")))));
+    let orders = rig.beat("vm-1", 6, EPOCH, vec![listed(&start, TaskState::Fetching)]);
+    assert_eq!(orders, [Order::Stop { task: start.0.clone(), attempt: start.1, grace_s: 0.0 }]);
+    let stopped = TaskState::Exited(ExitCause::Stopped { saved: false });
+    let orders = rig.beat("vm-1", 7, EPOCH, vec![listed(&start, stopped)]);
+    assert_eq!(orders, [Order::Forget { task: start.0, attempt: start.1 }], "and nothing of it starts again");
+    let moved = rig.commit_all();
+    assert_eq!(moved[0].changes[0].key(), over_key(&id("job-1")));
+}
+
+#[test]
+fn a_settle_is_recorded_before_the_row_and_before_the_worker_may_forget() {
+    let mut rig = Rig::with_machines(&["vm-1"]);
+    rig.accept(sample("job-1", "red", 1, 1.0));
+    let start = starts(&rig.beat("vm-1", 5, EPOCH, vec![])).remove(0);
+    let orders = rig.beat("vm-1", 6, EPOCH, vec![listed(&start, DONE)]);
+    assert_eq!(orders, vec![], "no reap before the record");
+    assert_ne!(rig.standing("job-1"), Some(Standing::Done), "not told before it is recorded");
+    // A withdrawal now is answered by the settle that is on its way.
+    let to = rig.withdraw("job-1");
+    let written = rig.commit_all();
+    let keys: Vec<Vec<&str>> = written.iter().map(|t| t.changes.iter().map(Change::key).collect()).collect();
+    assert_eq!(keys[0], [record_key(&id("job-1"))]);
+    assert_eq!(keys[1], [over_key(&id("job-1")), live_key(&id("job-1"))]);
+    assert_eq!(told(&rig.answer(to).expect("answered")), "done");
+    let orders = rig.beat("vm-1", 7, EPOCH, vec![listed(&start, DONE)]);
+    assert_eq!(orders, [Order::Forget { task: start.0, attempt: start.1 }]);
+}
+
+#[test]
+fn a_lagging_row_is_repaired_from_the_record_after_a_takeover() {
+    let mut settled = loaded_job(sample("job-1", "red", 1, 1.0));
+    settled.record.settled = true;
+    let mut rig = Rig::new(vec![settled], vec![hired("vm-1", true)]);
+    assert_eq!(rig.standing("job-1"), Some(Standing::Done));
+    assert!(rig.commits.is_empty(), "not while a machine may still hold a task of it");
+    rig.beat("vm-1", 5, EPOCH, vec![]);
+    let moved = rig.commit_all();
+    assert!(moved.iter().any(|t| t.changes.iter().any(|c| c.key() == over_key(&id("job-1")))));
+}
+
+#[test]
+fn a_retry_after_the_end_is_answered_from_the_record() {
+    let mut rig = Rig::with_machines(&["vm-1"]);
+    rig.submit(sample("job-1", "red", 1, 1.0));
+    // The record exists: it was accepted before.
+    rig.fail_commit(StoreError::Conflict);
+    assert_eq!(rig.lookups.len(), 1);
+    // What could not be accepted today may have been accepted earlier.
+    rig.submit(sample("job-2", "nobody", 1, 1.0));
+    let (job, otherwise) = &rig.lookups[1];
+    assert_eq!((job, otherwise.status), (&id("job-2"), 422));
+    rig.submit(sample("job-3", "red", 1, 9.0));
+    assert_eq!(rig.lookups[2].1.status, 422);
+    let mut service = sample("job-4", "red", 5, 4.0);
+    service.form = crate::protocol::jobs::Form::Service;
+    rig.submit(service);
+    assert_eq!(rig.lookups[3].1.status, 422, "all replicas of a service must fit the limit");
+}
+
+#[test]
+fn submissions_beyond_what_can_be_written_are_refused_at_once() {
+    let mut rig = Rig::with_machines(&["vm-1"]);
+    let mut refused = 0;
+    for n in 0..40 {
+        let to = rig.submit(sample(&format!("job-{n}"), "red", 1, 1.0));
+        if let Some(answer) = rig.answer(to) {
+            assert_eq!(answer.status, 429);
+            assert!(answer.retry_after_s.is_some_and(|s| s >= 1));
+            refused += 1;
+        }
+    }
+    assert_eq!(rig.commits.len() + refused, 40);
+    assert!(refused > 0 && rig.commits.len() >= 4);
+}
+
+#[test]
+fn together_and_scatter_count_tasks_wherever_they_may_be() {
+    let mut rig = Rig::with_machines(&["vm-1", "vm-2b"]);
+    let mut together = sample("job-1", "red", 2, 8.0);
+    together.one_zone = true;
+    rig.accept(together);
+    let first = starts(&rig.beat("vm-1", 5, EPOCH, vec![])).remove(0);
+    assert_eq!(starts(&rig.beat("vm-2b", 5, EPOCH, vec![])), vec![], "the other zone");
+    rig.withdraw("job-1");
+    rig.commit_all();
+    rig.beat("vm-1", 6, EPOCH, vec![listed(&first, TaskState::Exited(ExitCause::Stopped { saved: false }))]);
+    rig.commit_all();
+    let mut scatter = sample("job-2", "red", 4, 1.0);
+    scatter.spread = true;
+    rig.accept(scatter);
+    assert_eq!(starts(&rig.beat("vm-1", 7, EPOCH, vec![])).len(), 2, "at most half in one zone");
+    assert_eq!(starts(&rig.beat("vm-2b", 7, EPOCH, vec![])).len(), 2);
+}
+
+#[test]
+fn a_machine_that_fails_every_task_is_condemned_but_a_bad_job_condemns_none() {
+    let mut rig = Rig::with_machines(&["vm-1", "vm-2b", "vm-3", "vm-4b"]);
+    rig.accept(sample("job-1", "red", 4, 1.0));
+    let failed = |s: &(TaskId, u64)| listed(s, TaskState::Exited(ExitCause::Error));
+    let started = starts(&rig.beat("vm-1", 5, EPOCH, vec![]));
+    assert_eq!(started.len(), 4);
+    let again = rig.beat("vm-1", 6, EPOCH, started.iter().map(failed).collect());
+    assert_eq!(starts(&again), vec![], "nothing more is placed on a sick machine");
+    // The tasks go elsewhere, and fail there too: then it is the job.
+    for name in ["vm-2b", "vm-3"] {
+        let started = starts(&rig.beat(name, 5, EPOCH, vec![]));
+        rig.beat(name, 6, EPOCH, started.iter().take(2).map(failed).collect());
+    }
+    rig.pass(60.0);
+    rig.accept(sample("job-2", "blue", 1, 1.0));
+    assert!(!starts(&rig.beat("vm-4b", 7, EPOCH, vec![])).is_empty());
+    assert!(rig.standing("job-1").is_some_and(|s| !s.is_final()), "a failing job is never given up");
+}
+
+#[test]
+fn a_guarantee_takes_back_what_others_borrowed_and_equals_take_nothing() {
+    let mut rig = Rig::with_machines(&["vm-1", "vm-2b"]);
+    let mut borrower = sample("job-1", "blue", 2, 8.0);
+    borrower.priority = Priority::Critical;
+    rig.accept(borrower);
+    let a = starts(&rig.beat("vm-1", 5, EPOCH, vec![])).remove(0);
+    let b = starts(&rig.beat("vm-2b", 5, EPOCH, vec![])).remove(0);
+    rig.beat("vm-1", 6, EPOCH, vec![listed(&a, TaskState::Running)]);
+    rig.beat("vm-2b", 6, EPOCH, vec![listed(&b, TaskState::Running)]);
+    rig.accept(sample("job-2", "red", 1, 4.0));
+    rig.pass(5.0);
+    assert_eq!(rig.direct.len(), 1, "one of blue's two is beyond its guarantee");
+    // Beyond its own guarantee of 8 red has no claim.
+    rig.accept(sample("job-3", "red", 4, 4.0));
+    rig.pass(2.0);
+    assert_eq!(rig.direct.len(), 1);
+}
+
+#[test]
+fn a_machine_is_used_only_once_the_record_says_so() {
+    let mut rig = Rig::new(Vec::new(), Vec::new());
+    rig.accept(sample("job-1", "red", 1, 1.0));
+    // Nobody expected it: entered first, by name, then marked as used.
+    assert_eq!(rig.beat("vm-9", 1, 0, vec![]), vec![]);
+    assert_eq!(rig.beat("vm-9", 2, EPOCH, vec![]), vec![]);
+    assert_eq!(rig.beat("vm-9", 3, EPOCH, vec![]), vec![], "not recorded yet");
+    rig.commit_all();
+    assert_eq!(starts(&rig.beat("vm-9", 4, EPOCH, vec![])).len(), 1);
+}
+
+#[test]
+fn an_unresolved_hire_is_asked_again_under_its_own_name() {
+    let (mut record, version) = hired("vm-1", false);
+    record.machines = None;
+    let name = record.request.name.clone();
+    let mut rig = Rig::new(Vec::new(), vec![(record, version)]);
+    rig.pass(3.0);
+    let (ticket, call) =
+        rig.cloud.iter().find(|(_, c)| matches!(c, CloudCall::Hire(_))).cloned().expect("asked again");
+    assert!(matches!(call, CloudCall::Hire(r) if r.name == name));
+    rig.leader.cloud_done(rig.now, ticket, Ok(CloudReply::Hired(vec![machine("vm-1")])));
+    rig.collect();
+    rig.commit_all();
+    rig.accept(sample("job-1", "red", 1, 1.0));
+    rig.beat("vm-1", 1, EPOCH, vec![]);
+    rig.commit_all();
+    assert_eq!(starts(&rig.beat("vm-1", 2, EPOCH, vec![])).len(), 1);
+}
+
+#[test]
+fn one_old_list_does_not_cost_a_machine() {
+    let mut rig = Rig::with_machines(&["vm-1"]);
+    let entry = |state| Listed {
+        machine: machine("vm-1"),
+        address: String::new(),
+        machine_type: "m8".into(),
+        zone: "z1".into(),
+        spot: false,
+        state,
+        age_s: 1.0,
+    };
+    let list = |rig: &mut Rig, machines: Vec<Listed>| {
+        rig.cloud.clear();
+        rig.pass(4.2);
+        let found = rig.cloud.iter().find(|(_, c)| matches!(c, CloudCall::List { .. })).cloned();
+        let (ticket, _) = found.expect("lists are read again and again");
+        rig.cloud.clear();
+        rig.leader.cloud_done(rig.now, ticket, Ok(CloudReply::List(ListPage { machines, more: false })));
+        rig.collect();
+        rig.cloud.iter().any(|(_, c)| matches!(c, CloudCall::Delete(_)))
+    };
+    assert!(!list(&mut rig, vec![entry(ListedState::Running)]));
+    assert!(!list(&mut rig, vec![]), "this list may be older than the last");
+    assert!(list(&mut rig, vec![]), "twice, and silent: its deletion is asked for as proof");
+}
