Measure demand as offered work and hand it on to the next leader

Excluded: spot machines being refused (all of them were rented first). Change: demand is what would run had each task started when submitted, with the spread that jobs of such sizes have; it and the learnt run times are kept in the store. Machines that no demand counts on get no new work and go back sooner.

--- a/src/coordination/agents.rs
+++ b/src/coordination/agents.rs
@@ -186,11 +186,12 @@
         attempt: u64,
         cause: ExitCause,
     ) {
-        let held = self
-            .machines
-            .get(machine)
-            .and_then(|m| m.slots.get(key))
-            .is_some_and(|slot| slot.attempt == attempt);
+        let slot = self.machines.get(machine).and_then(|m| m.slots.get(key)).filter(|s| s.attempt == attempt);
+        let held = slot.is_some();
+        if let Some(slot) = slot.filter(|s| cause == ExitCause::Done && s.state == SlotState::Running) {
+            let seconds = now.saturating_duration_since(slot.since).as_secs_f64();
+            self.learn_run(&key.0, seconds);
+        }
         match cause {
             ExitCause::Done => {
                 self.mark_done(now, &key.0, key.1);
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -16,9 +16,10 @@
 use crate::protocol::cloud::{
     HireRequest, ListPage, ListedState, MAX_DELETE, MAX_HIRE, MachineType, encode_catalog,
 };
+use crate::protocol::jobs::JobId;
 use crate::protocol::state::{Change, Condition};
 use crate::protocol::workers::MachineId;
-use crate::storage::records::{CATALOG, HireRecord};
+use crate::storage::records::{CATALOG, EXPERIENCE, Experience, GroupExperience, HireRecord};
 use crate::storage::service::{Class, StoreError};
 
 /// The cloud bills at least this much of a machine.
@@ -36,43 +37,70 @@
 }
 
 /// Demand of one group over time, in CPUs (or GPUs, for jobs that need them).
+///
+/// What is measured is the work as if every task had started when it was
+/// submitted and run for as long as expected. A backlog, as while the first
+/// machines boot, would otherwise be taken for demand that stays.
 #[derive(Debug, Clone)]
 pub(super) struct Demand {
+    /// Work that would be running now: until when, how much.
+    ideal: Vec<(Instant, f64)>,
     mean: f64,
-    square: f64,
+    /// Mean size of a job, and of its square: large jobs come in one piece.
+    size: f64,
+    size_square: f64,
+    jobs: f64,
     born: Instant,
     at: Instant,
     active: f64,
     pending: f64,
+    /// Work that waits, in units times seconds.
+    waiting_work: f64,
     shape: Resources,
 }
 
 impl Demand {
     fn new(now: Instant) -> Self {
         Demand {
+            ideal: Vec::new(),
             mean: 0.0,
-            square: 0.0,
+            size: 0.0,
+            size_square: 0.0,
+            jobs: 0.0,
             born: now,
             at: now,
             active: 0.0,
             pending: 0.0,
+            waiting_work: 0.0,
             shape: Resources::default(),
         }
     }
 
+    fn arrive(&mut self, until: Instant, units: f64) {
+        self.ideal.push((until, units));
+        self.jobs += 1.0;
+        // A plain mean at first, later over about the last hundred jobs.
+        let weight = 1.0 / self.jobs.min(100.0);
+        self.size += (units - self.size) * weight;
+        self.size_square += (units * units - self.size_square) * weight;
+    }
+
     fn sample(&mut self, now: Instant, memory: Duration) {
-        let value = self.active + self.pending;
+        self.ideal.retain(|(until, _)| *until > now);
+        let value: f64 = self.ideal.iter().map(|(_, units)| units).sum();
         let passed = now.saturating_duration_since(self.at).as_secs_f64().max(0.1);
         let age = now.saturating_duration_since(self.born).as_secs_f64() + passed;
         // Young, it is a plain mean; later, the past fades.
         let weight = (passed / age.min(memory.as_secs_f64())).clamp(0.0, 1.0);
         self.mean += (value - self.mean) * weight;
-        self.square += (value * value - self.square) * weight;
         self.at = now;
     }
 
+    /// The standard deviation of work that comes in jobs of such sizes at
+    /// random times: the square root of the mean times the size of the job
+    /// that a unit of work typically belongs to.
     fn spread(&self) -> f64 {
-        (self.square - self.mean * self.mean).max(0.0).sqrt()
+        if self.size <= 0.0 { 0.0 } else { (self.mean * self.size_square / self.size).sqrt() }
     }
 }
 
@@ -205,6 +233,7 @@
                 idle_since: now,
                 unlisted: 0,
                 listed: false,
+                wanted: true,
             };
             self.machines.insert(id, machine);
         }
@@ -449,61 +478,124 @@
             self.ask_hire(now, &name);
         }
         self.measure_demand(now);
+        let boot = self.longest_boot();
+        if now > self.experience_at + boot / 5 {
+            self.experience_at = now;
+            self.write_experience(now);
+        }
         let wanted = self.rent(now);
+        for m in self.machines.values_mut() {
+            m.wanted = wanted.contains(&m.id);
+        }
         self.give_back(now, &wanted);
     }
 
     fn measure_demand(&mut self, now: Instant) {
         for demand in self.demand.values_mut() {
-            (demand.active, demand.pending) = (0.0, 0.0);
-        }
-        // A team's work beyond its limit cannot run, so nothing is rented for it.
-        let mut team_total = vec![0.0; self.teams.len()];
-        for job in self.jobs.values().filter(|j| j.is_live()) {
-            if let Some(team) = job.team {
-                team_total[team] += job.spec().cpus * f64::from(job.unfinished());
-            }
+            (demand.active, demand.pending, demand.waiting_work) = (0.0, 0.0, 0.0);
         }
-        let mut sums: Vec<(GroupKey, f64, f64, Resources, f64)> = Vec::new();
-        for job in self.jobs.values().filter(|j| j.is_live()) {
+        let start_delay = self.config.settings.cluster.workers.report().mul_f64(0.5);
+        let ids: Vec<JobId> = self.jobs.values().filter(|j| j.is_live()).map(|j| j.id().clone()).collect();
+        for id in ids {
+            let Some(job) = self.jobs.get(&id) else { continue };
             let spec = job.spec();
-            let Some(team) = job.team else { continue };
+            let Some(team) = job.team.and_then(|t| self.teams.get(t)) else { continue };
             let gpus = spec.gpus > 0.0;
             let unit = if gpus { spec.gpus } else { spec.cpus };
-            let limit = self.teams[team].limit.cpus;
-            let scale = if team_total[team] > limit { limit / team_total[team] } else { 1.0 };
+            let limit = if gpus { team.limit.gpus } else { team.limit.cpus };
             let key =
                 GroupKey { types: self.fitting_types(spec), zone: spec.zone.clone(), spot: spec.spot, gpus };
+            let shape = Resources::of(spec);
+            let run = self.expected_run(spec);
             let active = unit * job.active.len() as f64;
             let pending = unit * f64::from(job.pending());
-            let scaled = ((active + pending) * scale - active).max(0.0);
-            sums.push((key, active, scaled, Resources::of(spec), f64::from(job.unfinished())));
-        }
-        for (key, active, pending, shape, tasks) in sums {
+            // What a team asks beyond its limit cannot run at once.
+            let arriving = (!job.counted).then(|| (unit * f64::from(job.unfinished())).min(limit));
+            let (service, submitted) = (job.is_service(), job.submitted);
             let demand = self.demand.entry(key).or_insert_with(|| Demand::new(now));
             demand.active += active;
-            demand.pending += pending;
-            // A running mean of what one task takes; tasks weigh it.
-            let weight = (tasks / (tasks + 20.0)).clamp(0.0, 1.0);
-            if demand.shape == Resources::default() {
-                demand.shape = shape;
-            } else {
-                let blend = |old: f64, new: f64| old + (new - old) * weight;
+            demand.pending += pending.min(limit);
+            demand.waiting_work += pending * run;
+            if let Some(units) = arriving {
+                let until = if service {
+                    Duration::from_secs(1 << 30)
+                } else {
+                    Duration::from_secs_f64(run) + start_delay
+                };
+                // After a takeover also of jobs that came long ago.
+                demand.arrive(submitted + until, units);
+                let weight = (units / (units + demand.size * 4.0)).clamp(0.0, 1.0);
+                let blend = |old: f64, new: f64| if old > 0.0 { old + (new - old) * weight } else { new };
                 demand.shape = Resources {
                     cpus: blend(demand.shape.cpus, shape.cpus),
                     gpus: blend(demand.shape.gpus, shape.gpus),
                     memory_gb: blend(demand.shape.memory_gb, shape.memory_gb),
                 };
+                if let Some(job) = self.jobs.get_mut(&id) {
+                    job.counted = true;
+                }
             }
         }
-        let boot = self.catalog.iter().map(|k| k.boot_s).fold(1.0, f64::max);
-        let memory = Duration::from_secs_f64(boot * self.config.tuning.memory_ratio);
+        let memory = self.longest_boot().mul_f64(self.config.tuning.memory_ratio);
         for demand in self.demand.values_mut() {
             demand.sample(now, memory);
         }
         self.demand.retain(|_, d| d.mean > 0.05 || d.active + d.pending > 0.0);
     }
 
+    /// What a later leader could not find out by itself: demand so far and how
+    /// estimates have turned out.
+    fn write_experience(&mut self, now: Instant) {
+        let groups = self.demand.iter().map(|(key, demand)| {
+            let types = key.types.iter().filter_map(|&t| self.catalog.get(t)).map(|k| k.name.as_str());
+            GroupExperience {
+                types: types.map(str::to_owned).collect(),
+                zone: key.zone.clone(),
+                spot: key.spot,
+                gpus: key.gpus,
+                mean: demand.mean,
+                size: demand.size,
+                size_square: demand.size_square,
+                jobs: demand.jobs,
+                age_s: now.saturating_duration_since(demand.born).as_secs_f64(),
+            }
+        });
+        let experience = Experience {
+            groups: groups.take(32).collect(),
+            ratios: self.class_ratio.iter().take(64).map(|(c, r)| (c.clone(), *r)).collect(),
+        };
+        let value = experience.encode();
+        let limit = (self.config.settings.cluster.state.value_kb * 1024.0) as usize;
+        if self.experience_writing || json_size(&value) + 64 > limit {
+            return;
+        }
+        self.experience_writing = true;
+        let condition = Condition { key: EXPERIENCE.to_owned(), version: self.experience_version };
+        let change = Change::Put { key: EXPERIENCE.to_owned(), value, lease: None };
+        self.commit(Ticket::ExperienceWrite, Class::Rest, vec![condition], vec![change]);
+    }
+
+    /// Takes over what an earlier leader had learnt.
+    pub(super) fn take_experience(&mut self, now: Instant, experience: Experience) {
+        self.class_ratio = experience.ratios.into_iter().collect();
+        for group in experience.groups {
+            let types = group.types.iter().map(|name| self.catalog.iter().position(|k| k.name == *name));
+            let Some(types) = types.collect::<Option<Vec<_>>>() else { continue };
+            let key = GroupKey { types, zone: group.zone, spot: group.spot, gpus: group.gpus };
+            let mut demand = Demand::new(now);
+            demand.mean = group.mean;
+            demand.size = group.size;
+            demand.size_square = group.size_square;
+            demand.jobs = group.jobs;
+            demand.born = now.checked_sub(Duration::from_secs_f64(group.age_s.min(1e6))).unwrap_or(now);
+            self.demand.insert(key, demand);
+        }
+    }
+
+    fn longest_boot(&self) -> Duration {
+        Duration::from_secs_f64(self.catalog.iter().map(|k| k.boot_s).fold(1.0, f64::max))
+    }
+
     /// Units of a group's work that a machine type takes.
     fn units(&self, kind: usize, demand: &Demand, gpus: bool) -> f64 {
         let Some(kind) = self.catalog.get(kind) else { return 0.0 };
@@ -543,12 +635,25 @@
                 (kind, r.zone.clone(), r.spot, f64::from(r.count))
             })
             .collect();
+        let boot = self.longest_boot().as_secs_f64();
         let mut wanted = HashSet::new();
         let mut orders = Vec::new();
         for (key, demand) in groups {
-            let now_needed = demand.active + demand.pending * 0.5;
             let usual = demand.mean * mean_ratio + demand.spread() * headroom;
-            let mut need = now_needed.max(usual);
+            // What waits is to be worked off while, or soon after, what is
+            // rented for it boots; more would come up to find nothing to do.
+            let backlog = demand.mean + demand.waiting_work / (2.0 * boot);
+            let at_once = demand.active + demand.pending;
+            let mut need = usual.max(backlog.min(at_once));
+            tracing::debug!(
+                spot = key.spot,
+                mean = demand.mean,
+                spread = demand.spread(),
+                active = demand.active,
+                pending = demand.pending,
+                need,
+                "demand"
+            );
             let allows = |kind: usize, zone: &str, spot: bool| {
                 key.types.contains(&kind)
                     && key.zone.as_deref().is_none_or(|z| z == zone)
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -25,7 +25,8 @@
 use crate::protocol::workers::{MachineId, Order};
 use crate::settings::Settings;
 use crate::storage::records::{
-    HireRecord, JobRecord, block_key, block_size, blocks, hire_key, live_key, over_key, record_key, row,
+    Experience, HireRecord, JobRecord, block_key, block_size, blocks, hire_key, live_key, over_key,
+    record_key, row,
 };
 use crate::storage::service::{Class, StoreError, Transaction};
 
@@ -95,6 +96,7 @@
     List,
     Catalog,
     CatalogWrite,
+    ExperienceWrite,
 }
 
 #[derive(Debug)]
@@ -109,6 +111,7 @@
     pub jobs: Vec<LoadedJob>,
     pub hires: Vec<(HireRecord, u64)>,
     pub catalog: Option<(Vec<MachineType>, u64)>,
+    pub experience: Option<(Experience, u64)>,
 }
 
 #[derive(Debug)]
@@ -154,7 +157,12 @@
     pub(super) catalog_at: Option<Instant>,
     pub(super) catalog_version: u64,
     pub(super) catalog_writing: bool,
+    pub(super) experience_at: Instant,
+    pub(super) experience_version: u64,
+    pub(super) experience_writing: bool,
     pub(super) demand: HashMap<GroupKey, Demand>,
+    /// Measured run time against the owners' estimates, by class.
+    pub(super) class_ratio: HashMap<String, f64>,
     pub(super) backoff: HashMap<(usize, String, bool), Backoff>,
     pub(super) listing: Option<ListRound>,
     pub(super) listed_at: Option<Instant>,
@@ -207,7 +215,11 @@
             catalog_at: None,
             catalog_version: 0,
             catalog_writing: false,
+            experience_at: now,
+            experience_version: 0,
+            experience_writing: false,
             demand: HashMap::new(),
+            class_ratio: HashMap::new(),
             backoff: HashMap::new(),
             listing: None,
             listed_at: None,
@@ -242,6 +254,10 @@
             leader.catalog_version = version;
             leader.meet_all(now);
         }
+        if let Some((experience, version)) = loaded.experience {
+            leader.experience_version = version;
+            leader.take_experience(now, experience);
+        }
         leader.request_catalog();
         leader
     }
@@ -313,6 +329,10 @@
                 self.catalog_writing = false;
                 self.catalog_version = result.unwrap_or(self.catalog_version);
             }
+            Some(Ticket::ExperienceWrite) => {
+                self.experience_writing = false;
+                self.experience_version = result.unwrap_or(self.experience_version);
+            }
             Some(Ticket::Hire(name)) => self.hire_written(now, name, result),
             _ => {}
         }
@@ -600,6 +620,26 @@
             .collect()
     }
 
+    /// How long a task is expected to run: the owner's estimate, corrected by
+    /// how the estimates of its class have turned out.
+    pub(super) fn expected_run(&self, spec: &JobSpec) -> f64 {
+        let ratio = self.class_ratio.get(&spec.class).copied().unwrap_or(1.0);
+        (spec.estimate_s * ratio).min(1e6)
+    }
+
+    pub(super) fn learn_run(&mut self, job: &JobId, seconds: f64) {
+        const CLASSES: usize = 256;
+        let Some(spec) = self.jobs.get(job).map(Job::spec) else { return };
+        if spec.estimate_s <= 0.0
+            || (self.class_ratio.len() >= CLASSES && !self.class_ratio.contains_key(&spec.class))
+        {
+            return;
+        }
+        let seen = (seconds / spec.estimate_s).clamp(0.05, 20.0);
+        let ratio = self.class_ratio.entry(spec.class.clone()).or_insert(1.0);
+        *ratio += (seen - *ratio) * 0.02;
+    }
+
     /// Whether all that may be on machines from before this epoch is known.
     pub(super) fn is_whole(&self) -> bool {
         self.machines.values().all(|m| m.known || !m.used)
@@ -626,10 +666,12 @@
     /// For the log.
     pub fn summary(&self) -> String {
         let booting = self.machines.values().filter(|m| m.phase == Phase::Booting).count();
+        let spot = self.machines.values().filter(|m| m.spot).count();
+        let idle = self.machines.values().filter(|m| m.phase == Phase::Up && m.slots.is_empty()).count();
         let pending: u32 = self.jobs.values().map(Job::pending).sum();
         let active: usize = self.jobs.values().map(|j| j.active.len()).sum();
         format!(
-            "epoch {} jobs {} pending {pending} active {active} machines {} booting {booting} whole {}",
+            "epoch {} jobs {} pending {pending} active {active} machines {} spot {spot} booting {booting} idle {idle} whole {}",
             self.epoch,
             self.jobs.len(),
             self.machines.len(),
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -115,6 +115,8 @@
     /// Failures on different machines since a task last succeeded.
     pub failed_on: BTreeSet<MachineId>,
     pub hold_until: Option<Instant>,
+    /// Its work is part of the measured demand.
+    pub counted: bool,
 }
 
 impl Job {
@@ -141,6 +143,7 @@
             running: 0,
             failed_on: BTreeSet::new(),
             hold_until: None,
+            counted: false,
             record,
         }
     }
@@ -292,6 +295,8 @@
     /// Times that a list young enough to show it did not.
     pub unlisted: u32,
     pub listed: bool,
+    /// Some demand counts on it; others are left to run empty.
+    pub wanted: bool,
 }
 
 impl Machine {
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -21,7 +21,8 @@
 use crate::protocol::workers::{Report, direct_orders, report_answer, report_elsewhere};
 use crate::protocol::{BODY_LIMIT, HEAD_LIMIT};
 use crate::storage::records::{
-    CATALOG, HIRES, HireRecord, JobRecord, LIVE, RECORDS, block_key, blocks, record_key,
+    CATALOG, EXPERIENCE, Experience, HIRES, HireRecord, JobRecord, LIVE, RECORDS, block_key, blocks,
+    record_key,
 };
 use crate::storage::service::{Class, Store, StoreError};
 use crate::transport::client::{Call, Prepared};
@@ -605,6 +606,11 @@
     {
         loaded.catalog = Some((types, entry.version));
     }
+    if let Some(entry) = store.get(Class::Rest, EXPERIENCE).await? {
+        // Unreadable, it is written anew; its version is still needed for that.
+        let experience = Experience::decode(&entry.value).unwrap_or_default();
+        loaded.experience = Some((experience, entry.version));
+    }
     let mut reads = JoinSet::new();
     for row in store.scan(LIVE).await? {
         let store = store.clone();
--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -229,7 +229,9 @@
         // Work that may run on spot machines leaves the others to work that
         // may not.
         let dear = if spec.spot && !machine.spot { 2.0 } else { 0.0 };
-        -(wait + fetch + 1.5 * emptiness + dear)
+        // What nobody counts on is left to run empty and be returned.
+        let spare = if machine.wanted { 0.0 } else { 2.0 };
+        -(wait + fetch + 1.5 * emptiness + dear + spare)
     }
 
     /// Frees room for work within its guarantee from work beyond another's,
--- a/src/coordination/tests.rs
+++ b/src/coordination/tests.rs
@@ -89,7 +89,7 @@
     fn new(jobs: Vec<LoadedJob>, hires: Vec<(HireRecord, u64)>) -> Self {
         let config = Arc::new(Config { settings: settings::tests::sample(), tuning: Tuning::default() });
         let now = Instant::now();
-        let loaded = Loaded { jobs, hires, catalog: Some((catalog(), 2)) };
+        let loaded = Loaded { jobs, hires, catalog: Some((catalog(), 2)), experience: None };
         let mut leader = Leader::new(config.clone(), EPOCH, now, MS, loaded);
         leader.extend(now, now + Duration::from_secs(3600));
         let mut rig = Rig {
--- a/src/storage/records.rs
+++ b/src/storage/records.rs
@@ -7,6 +7,7 @@
 //! * `live/ID`, `over/ID`: a job's summary row; `live/` is what a takeover
 //!   scans, `over/` is history.
 //! * `catalog`: the machine types as last seen.
+//! * `experience`: demand so far, and how estimates turned out.
 //! * `hire/NAME`: a rental request and, once answered, its machines.
 
 use std::collections::BTreeSet;
@@ -22,6 +23,8 @@
 
 pub const LEADER: &str = "leader";
 pub const CATALOG: &str = "catalog";
+/// What leaders have learnt; a convenience, nothing rests on it.
+pub const EXPERIENCE: &str = "experience";
 pub const LIVE: &str = "live/";
 pub const OVER: &str = "over/";
 pub const HIRES: &str = "hire/";
@@ -205,6 +208,79 @@
     }
 }
 
+/// Demand of jobs that may use the same machines.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct GroupExperience {
+    pub types: Vec<String>,
+    pub zone: Option<String>,
+    pub spot: bool,
+    pub gpus: bool,
+    pub mean: f64,
+    pub size: f64,
+    pub size_square: f64,
+    pub jobs: f64,
+    pub age_s: f64,
+}
+
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Experience {
+    pub groups: Vec<GroupExperience>,
+    /// By class, run time as a multiple of the owners' estimates.
+    pub ratios: Vec<(String, f64)>,
+}
+
+impl Experience {
+    pub fn encode(&self) -> Value {
+        let groups = self.groups.iter().map(|g| {
+            MapBuilder::new()
+                .set("types", texts(g.types.iter().map(String::as_str)))
+                .set_some("zone", g.zone.as_deref())
+                .set("spot", g.spot)
+                .set("gpus", g.gpus)
+                .set("mean", g.mean)
+                .set("size", g.size)
+                .set("square", g.size_square)
+                .set("jobs", g.jobs)
+                .set("age", g.age_s)
+                .build()
+        });
+        let ratios = self
+            .ratios
+            .iter()
+            .map(|(class, r)| MapBuilder::new().set("class", class.as_str()).set("ratio", *r).build());
+        MapBuilder::new()
+            .set("groups", Value::Array(groups.collect()))
+            .set("ratios", Value::Array(ratios.collect()))
+            .build()
+    }
+
+    pub fn decode(value: &Value) -> Result<Self, Malformed> {
+        let f = Fields::of(value)?;
+        let group = |value: &Value| {
+            let g = Fields::of(value)?;
+            Ok(GroupExperience {
+                types: g.opt_texts("types")?.unwrap_or_default(),
+                zone: g.opt_text("zone")?.map(str::to_owned),
+                spot: g.bool("spot")?,
+                gpus: g.bool("gpus")?,
+                mean: g.amount("mean")?,
+                size: g.amount("size")?,
+                size_square: g.amount("square")?,
+                jobs: g.amount("jobs")?,
+                age_s: g.amount("age")?,
+            })
+        };
+        let ratio = |value: &Value| {
+            let r = Fields::of(value)?;
+            Ok((r.text("class")?.to_owned(), r.amount("ratio")?))
+        };
+        Ok(Experience {
+            groups: f.list("groups")?.iter().map(group).collect::<Result<_, Malformed>>()?,
+            ratios: f.list("ratios")?.iter().map(ratio).collect::<Result<_, Malformed>>()?,
+        })
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -242,6 +318,13 @@
         assert_eq!(JobRecord::decode(&value).expect("readable"), record);
     }
 
+    #[test]
+    fn experience_is_read_back_as_written() {
+        let group = GroupExperience { types: vec!["m8".into()], mean: 2.5, spot: true, ..Default::default() };
+        let experience = Experience { groups: vec![group], ratios: vec![("build".into(), 1.25)] };
+        assert_eq!(Experience::decode(&experience.encode()), Ok(experience));
+    }
+
     #[test]
     fn an_unanswered_hire_is_told_from_an_empty_one() {
         let request = HireRequest {
