--- a/src/policy.rs
+++ b/src/policy.rs
@@ -33,9 +33,9 @@
         Tuning {
             lease_ratio: 1.0 / 3.0,
             sample: 5,
-            headroom: 0.7,
+            headroom: 0.3,
             mean_ratio: 1.0,
-            memory_ratio: 1.5,
+            memory_ratio: 0.7,
             idle_ratio: 0.3,
             boot_limit_ratio: 3.0,
             silence_ratio: 0.45,
