--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -623,7 +623,12 @@
                 .get(kind)
                 .map_or(f64::MAX, |k| (if spot { k.spot_price } else { k.price }) / k.cpus.max(1.0))
         };
-        left.sort_by(|a, b| price(a.1, a.3).total_cmp(&price(b.1, b.3)).then_with(|| a.0.cmp(&b.0)));
+        // At one price those with the most on them, so that the others empty.
+        let load = |id: &MachineId| self.machines.get(id).map_or(0, |m| m.slots.len());
+        left.sort_by(|a, b| {
+            let dear = price(a.1, a.3).total_cmp(&price(b.1, b.3));
+            dear.then_with(|| load(&b.0).cmp(&load(&a.0))).then_with(|| a.0.cmp(&b.0))
+        });
         // Machines asked for but not named yet count as if they were there.
         let mut coming: Vec<(usize, String, bool, f64)> = self
             .hires
--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -149,6 +149,11 @@
         }
         let here = self.score(now, j, m, now);
         let pending = j.pending();
+        // A machine that no demand counts on is left to run empty while the
+        // others have room for all that waits.
+        if !m.wanted && self.room_on_wanted(j) >= pending {
+            return false;
+        }
         let sample = self.config.tuning.sample.saturating_sub(1);
         let report = self.config.settings.cluster.workers.report();
         let need = Resources::of(j.spec());
@@ -166,6 +171,16 @@
         better.is_none()
     }
 
+    /// How many of the job's tasks fit on machines that demand counts on.
+    fn room_on_wanted(&self, job: &Job) -> u32 {
+        let need = Resources::of(job.spec());
+        self.machines
+            .values()
+            .filter(|m| m.wanted && self.eligible(job, m))
+            .map(|m| need.times_in(&m.free))
+            .fold(0, u32::saturating_add)
+    }
+
     /// What the rules demand of a machine for the job's next task.
     fn eligible(&self, job: &Job, machine: &Machine) -> bool {
         let spec = job.spec();
