--- a/src/cli.rs
+++ b/src/cli.rs
@@ -8,6 +8,9 @@
 
 use clap::{Parser, Subcommand};
 use tokio::sync::{mpsc, watch};
+use tracing_subscriber::filter::Targets;
+use tracing_subscriber::layer::{Layer, SubscriberExt};
+use tracing_subscriber::util::SubscriberInitExt;
 
 use crate::coordination::cloud;
 use crate::coordination::election::{self, Election};
@@ -99,13 +102,14 @@
         Ok("debug") => tracing::Level::DEBUG,
         _ => tracing::Level::INFO,
     };
-    tracing_subscriber::fmt()
-        .with_max_level(level)
+    // Libraries are heard only where something is wrong with them.
+    let levels = Targets::new().with_default(tracing::Level::ERROR).with_target("shedtally", level);
+    let lines = tracing_subscriber::fmt::layer()
         .with_writer(std::io::stderr)
         .with_ansi(false)
         .without_time()
-        .with_target(false)
-        .init();
+        .with_target(false);
+    tracing_subscriber::registry().with(lines.with_filter(levels)).init();
 }
 
 async fn serve(settings: Settings) -> Result<(), String> {
--- a/src/coordination/agents.rs
+++ b/src/coordination/agents.rs
@@ -208,6 +208,7 @@
             _ => {}
         }
         if held {
+            tracing::debug!(%machine, job = %key.0, task = key.1, ?cause, "exited");
             self.remove_slot(now, machine, key);
         }
     }
--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -124,6 +124,7 @@
                 // Epochs differ, and counters within one: never used twice.
                 let attempt = self.epoch << 32 | u64::from(counter);
                 let key = (ranked.job.clone(), index);
+                tracing::debug!(%machine, job = %ranked.job, task = index, "start");
                 self.add_slot(now, machine, key, attempt, SlotState::Sent { seq }, true);
                 orders.push(Order::Start { task: TaskId { job: ranked.job.clone(), index }, attempt });
                 started += 1;
@@ -157,18 +158,29 @@
         let sample = self.config.tuning.sample.saturating_sub(1);
         let report = self.config.settings.cluster.workers.report();
         let need = Resources::of(j.spec());
+        let mut population = 0;
         let others: Vec<&Machine> = self
             .machines
             .values()
             .filter(|o| o.id != *machine && o.open() && need.fits(&o.free))
             // One that has missed its time to report may be dead.
             .filter(|o| o.heard.is_some_and(|h| now < h + report.mul_f64(1.5)))
+            .inspect(|_| population += 1)
             .choose_multiple(&mut self.rng, sample);
-        let better = others.into_iter().filter(|o| self.eligible(j, o)).find(|o| {
-            let next_report = o.heard.map_or(now, |h| (h + report).max(now));
-            self.score(now, j, o, next_report) > here + 0.5 && need.times_in(&o.free) >= pending
-        });
-        better.is_none()
+        let sampled = others.len();
+        let room: u32 = others
+            .into_iter()
+            .filter(|o| self.eligible(j, o))
+            .filter(|o| {
+                let next_report = o.heard.map_or(now, |h| (h + report).max(now));
+                self.score(now, j, o, next_report) > here + 0.5
+            })
+            .map(|o| need.times_in(&o.free))
+            .fold(0, u32::saturating_add);
+        // The sample stands for all: are there clearly better places for all
+        // that waits?
+        let better = f64::from(room) * population as f64 / sampled.max(1) as f64;
+        better < f64::from(pending)
     }
 
     /// How many of the job's tasks fit on machines that demand counts on.
