--- a/src/policy.rs
+++ b/src/policy.rs
@@ -31,7 +31,7 @@
 impl Default for Tuning {
     fn default() -> Self {
         Tuning {
-            lease_ratio: 1.0 / 3.0,
+            lease_ratio: 0.2,
             sample: 5,
             headroom: 0.3,
             mean_ratio: 1.0,
