--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -264,11 +264,14 @@
     /// Frees room for work within its guarantee from work beyond another's,
     /// and for work of higher priority from lower. Only tasks that lose little.
     pub(super) fn preempt(&mut self, now: Instant) {
-        if !self.was_whole || self.config.tuning.preempt_loss_s <= 0.0 {
+        if !self.was_whole
+            || self.config.tuning.preempt_loss_s.max(self.config.tuning.preempt_lower_loss_s) <= 0.0
+        {
             return;
         }
         self.rank(now);
-        let patience = self.config.settings.cluster.workers.report().mul_f64(1.5);
+        // The machines that have room get their chance to report first.
+        let patience = self.config.settings.cluster.workers.report().mul_f64(0.5);
         let queue = self.queue.clone();
         let mut stops: Vec<(MachineId, SlotKey, f64)> = Vec::new();
         for ranked in queue.iter().take(16) {
@@ -286,15 +289,16 @@
                 .fold(0, u32::saturating_add);
             let coming =
                 self.machines.values().flat_map(|m| m.slots.values()).filter(|s| s.stop.is_some()).count();
-            let mut missing = job.pending().saturating_sub(free).saturating_sub(coming as u32).min(8);
+            let mut missing = job.pending().saturating_sub(free).saturating_sub(coming as u32);
             if missing == 0 {
                 continue;
             }
-            for (machine, key, loss) in self.victims(now, ranked, job) {
+            let tuning = &self.config.tuning;
+            for (machine, key, loss, lower) in self.victims(now, ranked, job) {
                 if missing == 0 {
                     break;
                 }
-                if loss <= self.config.tuning.preempt_loss_s {
+                if loss <= if lower { tuning.preempt_lower_loss_s } else { tuning.preempt_loss_s } {
                     let grace = self.jobs.get(&key.0).map_or(0.0, |j| j.spec().save_s);
                     stops.push((machine, key, grace));
                     missing -= 1;
@@ -310,7 +314,7 @@
     }
 
     /// Tasks that may give way to the job, those that lose least first.
-    fn victims(&self, now: Instant, ranked: &Ranked, job: &Job) -> Vec<(MachineId, SlotKey, f64)> {
+    fn victims(&self, now: Instant, ranked: &Ranked, job: &Job) -> Vec<(MachineId, SlotKey, f64, bool)> {
         let need = Resources::of(job.spec());
         let mut found = Vec::new();
         for machine in self.machines.values().filter(|m| m.open() && (!m.spot || job.spec().spot)) {
@@ -332,7 +336,12 @@
                 if !may || slot.stop.is_some() || victim.is_service() || slot.room.cpus < need.cpus {
                     continue;
                 }
-                found.push((machine.id.clone(), key.clone(), loss_s(now, victim, slot.state, slot.since)));
+                found.push((
+                    machine.id.clone(),
+                    key.clone(),
+                    loss_s(now, victim, slot.state, slot.since),
+                    lower,
+                ));
             }
         }
         found.sort_by(|a, b| a.2.total_cmp(&b.2));
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -22,8 +22,10 @@
     pub silence_ratio: f64,
     /// Done tasks are gathered for this part of a report interval.
     pub batch_ratio: f64,
-    /// Most work, in seconds, that a preempted task may lose.
+    /// Most work, in seconds, that a task may lose to another team's guarantee.
     pub preempt_loss_s: f64,
+    /// The same for a task that gives way to one of higher priority.
+    pub preempt_lower_loss_s: f64,
     /// Reconciler rounds, in seconds.
     pub reconcile_s: f64,
 }
@@ -41,6 +43,7 @@
             silence_ratio: 0.45,
             batch_ratio: 0.15,
             preempt_loss_s: 8.0,
+            preempt_lower_loss_s: 25.0,
             reconcile_s: 30.0,
         }
     }
