--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -477,6 +477,7 @@
         for name in unresolved {
             self.ask_hire(now, &name);
         }
+        self.spot_seconds += self.machines.values().filter(|m| m.spot && m.phase == Phase::Up).count() as f64;
         self.measure_demand(now);
         let boot = self.longest_boot();
         if now > self.experience_at + boot / 5 {
@@ -592,6 +593,12 @@
         }
     }
 
+    /// How often a spot machine is lost, per second of its life: what was seen,
+    /// beside one loss in one machine's hour to begin with.
+    pub(super) fn spot_loss_rate(&self) -> f64 {
+        (self.spot_losses + 1.0) / (self.spot_seconds + 3600.0)
+    }
+
     fn longest_boot(&self) -> Duration {
         Duration::from_secs_f64(self.catalog.iter().map(|k| k.boot_s).fold(1.0, f64::max))
     }
@@ -782,6 +789,8 @@
                 }
             };
             if let Some(reason) = reason {
+                let lost = reason == "silent" || m.taken_at.is_some();
+                self.spot_losses += f64::from(u8::from(m.spot && lost && m.phase == Phase::Up));
                 tracing::info!(machine = %m.id, reason, "returning");
                 back.push(m.id.clone());
             }
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -163,6 +163,8 @@
     pub(super) demand: HashMap<GroupKey, Demand>,
     /// Measured run time against the owners' estimates, by class.
     pub(super) class_ratio: HashMap<String, f64>,
+    pub(super) spot_losses: f64,
+    pub(super) spot_seconds: f64,
     pub(super) backoff: HashMap<(usize, String, bool), Backoff>,
     pub(super) listing: Option<ListRound>,
     pub(super) listed_at: Option<Instant>,
@@ -220,6 +222,8 @@
             experience_writing: false,
             demand: HashMap::new(),
             class_ratio: HashMap::new(),
+            spot_losses: 0.0,
+            spot_seconds: 0.0,
             backoff: HashMap::new(),
             listing: None,
             listed_at: None,
--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -258,7 +258,15 @@
         let dear = if spec.spot && !machine.spot { 2.0 } else { 0.0 };
         // What nobody counts on is left to run empty and be returned.
         let spare = if machine.wanted { 0.0 } else { 2.0 };
-        -(wait + fetch + 1.5 * emptiness + dear + spare)
+        // Without checkpoints all of a task's work is lost with the machine;
+        // the longer it runs, the likelier and the more.
+        let risk = if machine.spot && spec.checkpoint_s <= 0.0 {
+            let run = self.expected_run(spec);
+            self.spot_loss_rate() * run * run * self.config.tuning.spot_risk
+        } else {
+            0.0
+        };
+        -(wait + fetch + 1.5 * emptiness + dear + spare + risk)
     }
 
     /// Frees room for work within its guarantee from work beyond another's,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -26,6 +26,8 @@
     pub preempt_loss_s: f64,
     /// The same for a task that gives way to one of higher priority.
     pub preempt_lower_loss_s: f64,
+    /// Weight of the work that may be lost with a spot machine.
+    pub spot_risk: f64,
     /// Reconciler rounds, in seconds.
     pub reconcile_s: f64,
 }
@@ -44,6 +46,7 @@
             batch_ratio: 0.15,
             preempt_loss_s: 8.0,
             preempt_lower_loss_s: 25.0,
+            spot_risk: 1.0,
             reconcile_s: 30.0,
         }
     }
