--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -54,6 +54,8 @@
     at: Instant,
     active: f64,
     pending: f64,
+    /// Since when there has been no work at all.
+    quiet_since: Option<Instant>,
     /// Work that waits, in units times seconds.
     waiting_work: f64,
     shape: Resources,
@@ -71,6 +73,7 @@
             at: now,
             active: 0.0,
             pending: 0.0,
+            quiet_since: None,
             waiting_work: 0.0,
             shape: Resources::default(),
         }
@@ -87,6 +90,11 @@
 
     fn sample(&mut self, now: Instant, memory: Duration) {
         self.ideal.retain(|(until, _)| *until > now);
+        if self.active + self.pending > 0.0 || !self.ideal.is_empty() {
+            self.quiet_since = None;
+        } else {
+            self.quiet_since.get_or_insert(now);
+        }
         let value: f64 = self.ideal.iter().map(|(_, units)| units).sum();
         let passed = now.saturating_duration_since(self.at).as_secs_f64().max(0.1);
         let age = now.saturating_duration_since(self.born).as_secs_f64() + passed;
@@ -657,6 +665,11 @@
             let backlog = demand.mean + demand.waiting_work / (2.0 * boot);
             let at_once = demand.active + demand.pending;
             let mut need = usual.max(backlog.min(at_once));
+            if demand.quiet_since.is_some_and(|since| now > since + self.longest_boot()) {
+                // Nothing has come for as long as a machine takes to boot:
+                // what is kept warm costs more than it saves.
+                need = 0.0;
+            }
             tracing::debug!(
                 spot = key.spot,
                 mean = demand.mean,
@@ -682,7 +695,10 @@
                 let taken = (need / units).min(*part);
                 *part -= taken;
                 need -= taken * units;
-                wanted.insert(id.clone());
+                // For a small rest no whole machine is kept.
+                if taken > 0.2 || wanted.is_empty() {
+                    wanted.insert(id.clone());
+                }
             }
             for (kind, zone, spot, count) in &mut coming {
                 let units = self.units(*kind, &demand, key.gpus);
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -672,10 +672,16 @@
         let booting = self.machines.values().filter(|m| m.phase == Phase::Booting).count();
         let spot = self.machines.values().filter(|m| m.spot).count();
         let idle = self.machines.values().filter(|m| m.phase == Phase::Up && m.slots.is_empty()).count();
+        let (mut cpus, mut used) = (0.0, 0.0);
+        for m in self.machines.values().filter(|m| m.phase == Phase::Up) {
+            let all = self.catalog.get(m.kind).map_or(0.0, |k| k.cpus);
+            cpus += all;
+            used += all - m.free.cpus;
+        }
         let pending: u32 = self.jobs.values().map(Job::pending).sum();
         let active: usize = self.jobs.values().map(|j| j.active.len()).sum();
         format!(
-            "epoch {} jobs {} pending {pending} active {active} machines {} spot {spot} booting {booting} idle {idle} whole {}",
+            "epoch {} jobs {} pending {pending} active {active} machines {} spot {spot} booting {booting} idle {idle} cpus {used:.0} of {cpus:.0} whole {}",
             self.epoch,
             self.jobs.len(),
             self.machines.len(),
