--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -346,7 +346,7 @@
         if short {
             let boot = self.catalog.get(kind).map_or(30.0, |k| k.boot_s).max(1.0);
             let first = Duration::from_secs_f64(boot / 2.0);
-            let wait = self.backoff.get(&option).map_or(first, |b| (b.wait * 2).min(first * 6));
+            let wait = self.backoff.get(&option).map_or(first, |b| (b.wait * 2).min(first * 2));
             self.backoff.insert(option, Backoff { until: now + wait, wait });
         } else {
             self.backoff.remove(&option);
@@ -684,6 +684,8 @@
                     && key.zone.as_deref().is_none_or(|z| z == zone)
                     && (key.spot || !spot)
             };
+            // What ordinary machines cover.
+            let mut dear = 0.0;
             for (id, kind, zone, spot, part) in &mut left {
                 if need <= 0.0 {
                     break;
@@ -695,6 +697,9 @@
                 let taken = (need / units).min(*part);
                 *part -= taken;
                 need -= taken * units;
+                if !*spot {
+                    dear += taken * units;
+                }
                 // For a small rest no whole machine is kept.
                 if taken > 0.2 || wanted.is_empty() {
                     wanted.insert(id.clone());
@@ -702,16 +707,18 @@
             }
             for (kind, zone, spot, count) in &mut coming {
                 let units = self.units(*kind, &demand, key.gpus);
-                if need > 0.0 && units > 0.0 && allows(*kind, zone, *spot) {
-                    let taken = (need / units).min(*count);
+                if need + dear > 0.0 && units > 0.0 && allows(*kind, zone, *spot) {
+                    let taken = ((need + dear) / units).min(*count);
                     *count -= taken;
                     need -= taken * units;
                 }
             }
-            if need > 0.0
-                && let Some(order) = self.choose_option(now, &key, &demand, need)
-            {
-                orders.push(order);
+            if need > 0.0 {
+                orders.extend(self.choose_option(now, &key, &demand, need));
+            } else if key.spot && need + dear > 0.0 {
+                // Ordinary machines do what spot ones could: take those when
+                // they are to be had; the others then empty and go back.
+                orders.extend(self.choose_option(now, &key, &demand, need + dear).filter(|o| o.2));
             }
         }
         for (kind, zone, spot, count) in orders {
