--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -607,7 +607,7 @@
         (self.spot_losses + 1.0) / (self.spot_seconds + 3600.0)
     }
 
-    fn longest_boot(&self) -> Duration {
+    pub(super) fn longest_boot(&self) -> Duration {
         Duration::from_secs_f64(self.catalog.iter().map(|k| k.boot_s).fold(1.0, f64::max))
     }
 
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -205,12 +205,6 @@
         None
     }
 
-    pub fn due(&self) -> Option<Instant> {
-        let after = self.spec().deadline_s?;
-        // Far enough away not to overflow, and to mean "never".
-        Some(self.submitted + std::time::Duration::from_secs_f64(after.min(1e7)))
-    }
-
     pub fn is_service(&self) -> bool {
         self.spec().form == Form::Service
     }
--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -15,7 +15,7 @@
 use super::leader::Leader;
 use super::model::{Job, Machine, Resources, SlotKey, SlotState, Team};
 use crate::protocol::cloud::MachineType;
-use crate::protocol::jobs::{JobId, Priority, TaskId};
+use crate::protocol::jobs::{JobId, JobSpec, Priority, TaskId};
 use crate::protocol::workers::{MachineId, Order};
 
 /// A waiting job's place in the queue.
@@ -56,13 +56,46 @@
                 job: j.id().clone(),
                 guaranteed: guaranteed.contains_key(j.id()),
                 priority: j.spec().priority,
-                due: latest_start(j, now),
+                due: self.latest_start(j, now),
             })
             .collect();
         queue.sort_by(Ranked::order);
         self.queue = queue;
     }
 
+    /// When a job's tasks must start for the next of the users' aims that can
+    /// still be met. With all of them missed it goes behind those for whom
+    /// haste still helps, by a boot time, and then by age.
+    fn latest_start(&self, job: &Job, now: Instant) -> Instant {
+        let next =
+            self.starts_aimed_at(job.spec()).map(|after| job.submitted + after).filter(|&at| at > now).min();
+        next.unwrap_or_else(|| {
+            let age = now.saturating_duration_since(job.submitted);
+            now + self.longest_boot().mul_f64(1.0 / (1.0 + age.as_secs_f64() / 600.0))
+        })
+    }
+
+    /// How long after its submission a job's tasks should have started, by each
+    /// of the users' aims for its class and by its deadline.
+    pub(super) fn starts_aimed_at(&self, spec: &JobSpec) -> impl Iterator<Item = Duration> + use<'_> {
+        let run = self.expected_run(spec);
+        let deadline = spec.deadline_s;
+        let class = spec.class.clone();
+        let aims = self.config.settings.cluster.objectives.iter().filter_map(move |aim| {
+            if aim.class.as_ref().is_some_and(|c| *c != class) {
+                return None;
+            }
+            match (aim.kind.as_str(), aim.within_s, deadline) {
+                ("wait", Some(within), _) => Some(within),
+                ("finished", Some(within), _) => Some(within - run),
+                ("deadline", _, Some(deadline)) => Some(deadline * aim.times.unwrap_or(1.0) - run),
+                _ => None,
+            }
+        });
+        let own = deadline.map(|d| d - run);
+        aims.chain(own).filter(|s| s.is_finite()).map(|s| Duration::from_secs_f64(s.clamp(0.0, 1e7)))
+    }
+
     /// Jobs that fit into their team's guarantee together with the team's
     /// earlier unfinished jobs, with what they may still take.
     fn within_guarantees(&self) -> HashMap<JobId, Resources> {
@@ -383,13 +416,3 @@
         _ => 0.0,
     }
 }
-
-/// When a job's tasks must start for it to be done in time. Without a
-/// deadline its age decides, behind a horizon of its own estimate.
-fn latest_start(job: &Job, _now: Instant) -> Instant {
-    let estimate = Duration::from_secs_f64(job.spec().estimate_s.min(1e6));
-    match job.due() {
-        Some(due) => due.checked_sub(estimate).unwrap_or(due).max(job.submitted),
-        None => job.submitted + estimate,
-    }
-}
