--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -34,6 +34,9 @@
     zone: Option<String>,
     spot: bool,
     gpus: bool,
+    /// Its jobs may wait for as long as machines take to boot: nothing is kept
+    /// ready for them beyond their usual demand.
+    patient: bool,
 }
 
 /// Demand of one group over time, in CPUs (or GPUs, for jobs that need them).
@@ -512,8 +515,10 @@
             let gpus = spec.gpus > 0.0;
             let unit = if gpus { spec.gpus } else { spec.cpus };
             let limit = if gpus { team.limit.gpus } else { team.limit.cpus };
-            let key =
-                GroupKey { types: self.fitting_types(spec), zone: spec.zone.clone(), spot: spec.spot, gpus };
+            let patience = self.starts_aimed_at(spec).min().unwrap_or_default();
+            let patient = patience > self.longest_boot().mul_f64(1.5);
+            let types = self.fitting_types(spec);
+            let key = GroupKey { types, zone: spec.zone.clone(), spot: spec.spot, gpus, patient };
             let shape = Resources::of(spec);
             let run = self.expected_run(spec);
             let active = unit * job.active.len() as f64;
@@ -562,6 +567,7 @@
                 zone: key.zone.clone(),
                 spot: key.spot,
                 gpus: key.gpus,
+                patient: key.patient,
                 mean: demand.mean,
                 size: demand.size,
                 size_square: demand.size_square,
@@ -590,7 +596,13 @@
         for group in experience.groups {
             let types = group.types.iter().map(|name| self.catalog.iter().position(|k| k.name == *name));
             let Some(types) = types.collect::<Option<Vec<_>>>() else { continue };
-            let key = GroupKey { types, zone: group.zone, spot: group.spot, gpus: group.gpus };
+            let key = GroupKey {
+                types,
+                zone: group.zone,
+                spot: group.spot,
+                gpus: group.gpus,
+                patient: group.patient,
+            };
             let mut demand = Demand::new(now);
             demand.mean = group.mean;
             demand.size = group.size;
@@ -659,10 +671,12 @@
         let mut wanted = HashSet::new();
         let mut orders = Vec::new();
         for (key, demand) in groups {
-            let usual = demand.mean * mean_ratio + demand.spread() * headroom;
+            let ready = if key.patient { 0.0 } else { demand.spread() * headroom };
+            let usual = demand.mean * mean_ratio + ready;
             // What waits is to be worked off while, or soon after, what is
             // rented for it boots; more would come up to find nothing to do.
-            let backlog = demand.mean + demand.waiting_work / (2.0 * boot);
+            let time = if key.patient { 4.0 * boot } else { 2.0 * boot };
+            let backlog = demand.mean + demand.waiting_work / time;
             let at_once = demand.active + demand.pending;
             let mut need = usual.max(backlog.min(at_once));
             if demand.quiet_since.is_some_and(|since| now > since + self.longest_boot()) {
--- a/src/storage/records.rs
+++ b/src/storage/records.rs
@@ -215,6 +215,7 @@
     pub zone: Option<String>,
     pub spot: bool,
     pub gpus: bool,
+    pub patient: bool,
     pub mean: f64,
     pub size: f64,
     pub size_square: f64,
@@ -237,6 +238,7 @@
                 .set_some("zone", g.zone.as_deref())
                 .set("spot", g.spot)
                 .set("gpus", g.gpus)
+                .set("patient", g.patient)
                 .set("mean", g.mean)
                 .set("size", g.size)
                 .set("square", g.size_square)
@@ -263,6 +265,7 @@
                 zone: g.opt_text("zone")?.map(str::to_owned),
                 spot: g.bool("spot")?,
                 gpus: g.bool("gpus")?,
+                patient: g.bool("patient")?,
                 mean: g.amount("mean")?,
                 size: g.amount("size")?,
                 size_square: g.amount("square")?,
