--- a/src/cli.rs
+++ b/src/cli.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ciborium::value::Value;
 use clap::{Parser, Subcommand};
 use tokio::sync::{mpsc, watch};
 use tracing_subscriber::filter::Targets;
@@ -13,13 +14,17 @@
 use tracing_subscriber::util::SubscriberInitExt;
 
 use crate::coordination::cloud;
-use crate::coordination::election::{self, Election};
+use crate::coordination::election::{self, Election, Role};
 use crate::coordination::leader::Config;
 use crate::coordination::node::Node;
+use crate::coordination::reconciler::{self, Finding};
 use crate::policy::Tuning;
+use crate::protocol::cbor::decode;
 use crate::protocol::{BODY_LIMIT, HEAD_LIMIT};
-use crate::settings::{Settings, SettingsError};
+use crate::settings::Settings;
+use crate::storage::records::LEADER;
 use crate::storage::service;
+use crate::transport::client::{Call, Prepared};
 use crate::transport::codec::Limits;
 use crate::transport::{peer, server};
 
@@ -31,14 +36,36 @@
     /// Run as a controller with this settings file
     #[arg(long, value_name = "FILE")]
     config: Option<PathBuf>,
+    /// Use this policy instead of the default one
+    #[arg(long, value_name = "FILE", requires = "config")]
+    policy: Option<PathBuf>,
     #[command(subcommand)]
     command: Option<Command>,
 }
 
 #[derive(Debug, Subcommand)]
 enum Command {
-    /// Check a settings file and say what is wrong with it
-    Check { file: PathBuf },
+    /// Check a settings file, and a policy, and say what is wrong with them
+    Check {
+        /// The settings file
+        file: PathBuf,
+        /// A policy to check against it
+        #[arg(long, value_name = "FILE")]
+        policy: Option<PathBuf>,
+    },
+    /// Compare all records and rows; exit code 0 only if they are consistent
+    Audit {
+        /// The settings file of a controller
+        file: PathBuf,
+        /// Repair what can be derived soundly; refused while a controller leads
+        #[arg(long)]
+        repair: bool,
+    },
+    /// Print the figures of the controller that these settings are for
+    Status {
+        /// The settings file of the controller
+        file: PathBuf,
+    },
 }
 
 /// Exit code for input that cannot be used.
@@ -53,14 +80,25 @@
         }
     };
     match (arguments.command, arguments.config) {
-        (Some(Command::Check { file }), _) => match Settings::load(&file) {
+        (Some(Command::Check { file, policy }), _) => match read_input(&file, policy.as_deref()) {
             Ok(_) => {
                 println!("{}: ok", file.display());
+                if let Some(policy) = policy {
+                    println!("{}: ok", policy.display());
+                }
                 ExitCode::SUCCESS
             }
-            Err(error) => complain(&error),
+            Err(code) => code,
         },
-        (None, Some(file)) => run(&file),
+        (Some(Command::Audit { file, repair }), _) => match read_input(&file, None) {
+            Ok(config) => operate(audit(config, repair)),
+            Err(code) => code,
+        },
+        (Some(Command::Status { file }), _) => match read_input(&file, None) {
+            Ok(config) => operate(status(config.settings)),
+            Err(code) => code,
+        },
+        (None, Some(file)) => run(&file, arguments.policy.as_deref()),
         (None, None) => {
             eprintln!("shedtally: --config FILE or a command is needed; see --help");
             ExitCode::from(BAD_INPUT)
@@ -68,33 +106,139 @@
     }
 }
 
-fn complain(error: &SettingsError) -> ExitCode {
-    eprintln!("shedtally: {error}");
-    ExitCode::from(BAD_INPUT)
+/// Reads settings and policy; says in one line what is wrong with them.
+fn read_input(file: &Path, policy: Option<&Path>) -> Result<Config, ExitCode> {
+    let complain = |error: &dyn std::fmt::Display| {
+        eprintln!("shedtally: {error}");
+        ExitCode::from(BAD_INPUT)
+    };
+    let settings = Settings::load(file).map_err(|error| complain(&error))?;
+    let tuning = Tuning::load(&settings.cluster, policy).map_err(|error| complain(&error))?;
+    Ok(Config { settings, tuning })
 }
 
-fn run(file: &Path) -> ExitCode {
-    let settings = match Settings::load(file) {
-        Ok(settings) => settings,
-        Err(error) => return complain(&error),
-    };
-    start_logging();
-    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
-        Ok(runtime) => runtime,
-        Err(error) => {
-            eprintln!("shedtally: cannot start: {error}");
-            return ExitCode::FAILURE;
+/// Runs an operator's command to its end.
+fn operate(command: impl Future<Output = Result<ExitCode, String>>) -> ExitCode {
+    let outcome = runtime().and_then(|runtime| runtime.block_on(command));
+    outcome.unwrap_or_else(|reason| {
+        eprintln!("shedtally: {reason}");
+        ExitCode::FAILURE
+    })
+}
+
+fn runtime() -> Result<tokio::runtime::Runtime, String> {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|error| format!("cannot start: {error}"))
+}
+
+/// Compares what the store holds; with `repair` mends the sound cases under a
+/// lease of its own, so that no controller can lead meanwhile.
+async fn audit(config: Config, repair: bool) -> Result<ExitCode, String> {
+    let cluster = &config.settings.cluster;
+    let unavailable = |_| "the state service does not answer".to_owned();
+    let ttl = config.tuning.lease;
+    let (_leads, leading) = watch::channel(false);
+    let store =
+        service::start(config.settings.services.state, cluster.state.clone(), cluster.size, ttl / 3, leading);
+    let epoch = if repair {
+        let name = format!("audit-{:08x}", rand::random::<u32>());
+        let (roles_in, mut roles) = mpsc::channel(4);
+        let election = Election::new(&name, &name, ttl);
+        tokio::spawn(election::run(election, store.clone(), String::new(), roles_in));
+        match tokio::time::timeout(ttl, roles.recv()).await {
+            Ok(Some(Role::Leads { epoch, .. })) => Some(epoch),
+            Ok(Some(Role::Follows { leader })) => {
+                return Err(format!("{leader} leads; stop the controllers before a repair"));
+            }
+            _ => return Err("the state service does not answer".to_owned()),
         }
+    } else {
+        None
     };
-    match runtime.block_on(serve(settings)) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("shedtally: {error}");
-            ExitCode::FAILURE
+    let (mut jobs, mut open) = (0, 0);
+    for job in reconciler::all_jobs(&store).await.map_err(unavailable)? {
+        jobs += 1;
+        let examined = reconciler::examine(&store, &job).await.map_err(unavailable)?;
+        let what = match examined.finding {
+            Finding::Consistent => continue,
+            Finding::RowBehind(standing) => {
+                format!("the row lags behind the record, which says {}", standing.word())
+            }
+            Finding::Stranded => "a row says over, the record says live".to_owned(),
+            Finding::Suspect(reason) => format!("{reason}; left alone"),
+        };
+        let repaired = match epoch.and_then(|epoch| examined.repair(epoch)) {
+            Some(transaction) => store.commit(transaction).await.is_ok(),
+            None => false,
+        };
+        open += u32::from(!repaired);
+        println!("{job}: {what}{}", if repaired { "; repaired" } else { "" });
+    }
+    if epoch.is_some() {
+        release(&store).await;
+    }
+    println!("{jobs} jobs, {open} inconsistent");
+    Ok(if open == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+/// Gives the audit's lease back, so that controllers need not wait for its end.
+async fn release(store: &service::Store) {
+    if let Ok(Some(entry)) = store.get(service::Class::Renewal, LEADER).await
+        && let Some(lease) = entry.lease
+    {
+        let target = format!("/leases/{lease}");
+        let call = Call { method: "DELETE", target, body: Vec::new(), deadline: store.deadline() };
+        let _ = store.raw(service::Class::Renewal, call).await;
+    }
+}
+
+async fn status(settings: Settings) -> Result<ExitCode, String> {
+    let call = Call {
+        method: "GET",
+        target: "/status".into(),
+        body: Vec::new(),
+        deadline: settings.cluster.workers.report(),
+    };
+    let limits = Limits { head: HEAD_LIMIT, body: BODY_LIMIT };
+    let (answer, _) = Prepared::alone(settings.listen, limits, call).run().await;
+    let answer = answer.map_err(|error| format!("{}: {error}", settings.listen))?;
+    match decode(&answer.body) {
+        Ok(value) if answer.status == 200 => {
+            print_figures("", &value);
+            Ok(ExitCode::SUCCESS)
         }
+        _ => Err(format!("{}: no figures in the answer (status {})", settings.listen, answer.status)),
     }
 }
 
+/// One line a figure, nested names joined by dots.
+fn print_figures(prefix: &str, value: &Value) {
+    let Value::Map(entries) = value else {
+        return match value {
+            Value::Text(text) => println!("{prefix}: {text}"),
+            Value::Integer(number) => println!("{prefix}: {}", i128::from(*number)),
+            Value::Float(number) => println!("{prefix}: {number}"),
+            Value::Bool(truth) => println!("{prefix}: {truth}"),
+            _ => {}
+        };
+    };
+    for (key, inner) in entries {
+        let key = key.as_text().unwrap_or("?");
+        print_figures(&if prefix.is_empty() { key.to_owned() } else { format!("{prefix}.{key}") }, inner);
+    }
+}
+
+fn run(file: &Path, policy: Option<&Path>) -> ExitCode {
+    let config = match read_input(file, policy) {
+        Ok(config) => config,
+        Err(code) => return code,
+    };
+    start_logging();
+    operate(serve(config))
+}
+
 /// Levels as the platform names them; anything else means `info`.
 fn start_logging() {
     let level = match std::env::var("LOG_LEVEL").as_deref() {
@@ -112,13 +256,13 @@
     tracing_subscriber::registry().with(lines.with_filter(levels)).init();
 }
 
-async fn serve(settings: Settings) -> Result<(), String> {
-    let tuning = Tuning::default();
+async fn serve(config: Config) -> Result<ExitCode, String> {
+    let settings = &config.settings;
     let listener = server::listen(settings.listen)
         .await
         .map_err(|error| format!("cannot listen on {}: {error}", settings.listen))?;
     let cluster = &settings.cluster;
-    let ttl = cluster.workers.lease().mul_f64(tuning.lease_ratio);
+    let ttl = config.tuning.lease;
     let (leads, leading) = watch::channel(false);
     let store =
         service::start(settings.services.state, cluster.state.clone(), cluster.size, ttl / 6, leading);
@@ -137,7 +281,7 @@
         patience: cluster.workers.lease() / 4,
     };
     let peer_listen = settings.peer_listen;
-    let config = Arc::new(Config { settings, tuning });
+    let config = Arc::new(config);
     let (node, inputs, front) = Node::new(config, store, cloud, leads, roles);
     let peers = front.clone();
     tokio::spawn(async move {
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -635,6 +635,7 @@
     fn rent(&mut self, now: Instant) -> HashSet<MachineId> {
         let tuning = &self.config.tuning;
         let (headroom, mean_ratio) = (tuning.headroom, tuning.mean_ratio);
+        let spot_weight = tuning.spot_price_weight;
         let mut groups: Vec<(GroupKey, Demand)> =
             self.demand.iter().map(|(k, d)| (k.clone(), d.clone())).collect();
         // Those with the fewest choices first.
@@ -646,9 +647,9 @@
             .map(|m| (m.id.clone(), m.kind, m.zone.clone(), m.spot, 1.0))
             .collect();
         let price = |kind: usize, spot: bool| -> f64 {
-            self.catalog
-                .get(kind)
-                .map_or(f64::MAX, |k| (if spot { k.spot_price } else { k.price }) / k.cpus.max(1.0))
+            self.catalog.get(kind).map_or(f64::MAX, |k| {
+                (if spot { k.spot_price * spot_weight } else { k.price }) / k.cpus.max(1.0)
+            })
         };
         // At one price those with the most on them, so that the others empty.
         let load = |id: &MachineId| self.machines.get(id).map_or(0, |m| m.slots.len());
@@ -768,7 +769,8 @@
                     if (spot && !key.spot) || busy(at, zone, spot) {
                         continue;
                     }
-                    let cost = f64::from(count) * if spot { kind.spot_price } else { kind.price };
+                    let weight = self.config.tuning.spot_price_weight;
+                    let cost = f64::from(count) * if spot { kind.spot_price * weight } else { kind.price };
                     let here = self.machines.values().filter(|m| m.zone == *zone).count();
                     let better = best
                         .as_ref()
@@ -797,9 +799,8 @@
 
     /// Returns what is idle and not wanted, and what is of no use any more.
     fn give_back(&mut self, now: Instant, wanted: &HashSet<MachineId>) {
-        let cluster = &self.config.settings.cluster;
         let tuning = &self.config.tuning;
-        let silence = cluster.workers.lease().mul_f64(tuning.silence_ratio);
+        let silence = tuning.silence;
         let since = self.since;
         let heard = |m: &Machine| m.heard.map_or(since, |h| h.max(since));
         let up: Vec<&Machine> = self.machines.values().filter(|m| m.phase == Phase::Up).collect();
--- a/src/coordination/intake.rs
+++ b/src/coordination/intake.rs
@@ -35,6 +35,7 @@
         let room = (state.write_rps / 2.0).max(4.0) as usize;
         let most_jobs = (self.config.settings.cluster.limits.memory_mb * 32.0) as usize;
         if self.creating.len() >= room || self.jobs.len() >= most_jobs {
+            self.refused += 1;
             return self.answer(to, Answer::later(429, "too many submissions at once", 2));
         }
         let job = spec.id.clone();
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -18,7 +18,7 @@
 use super::model::{Hire, Job, Machine, Phase, ReplyTo, Resources, Slot, SlotKey, SlotState, Team, Written};
 use super::scheduler::Ranked;
 use crate::policy::Tuning;
-use crate::protocol::cbor::encode;
+use crate::protocol::cbor::{MapBuilder, encode};
 use crate::protocol::cloud::MachineType;
 use crate::protocol::jobs::{JobId, JobSpec, Standing, refusal};
 use crate::protocol::state::{Change, Condition};
@@ -177,6 +177,7 @@
     pub(super) next_hire: u32,
     pub(super) slow_tick_at: Instant,
     pub(super) was_whole: bool,
+    pub(super) refused: u64,
     pub(super) actions: Vec<Action>,
     pub(super) rng: SmallRng,
     fenced: bool,
@@ -236,18 +237,14 @@
             next_hire: 0,
             slow_tick_at: now,
             was_whole: false,
+            refused: 0,
             actions: Vec::new(),
             rng: SmallRng::seed_from_u64(epoch ^ now_ms),
             fenced: false,
             config,
         };
         for job in loaded.jobs {
-            let age = Duration::from_millis(now_ms.saturating_sub(job.record.submitted_ms));
-            let submitted = now.checked_sub(age).unwrap_or(now);
-            let mut entry = Job::new(job.record, job.version, job.live_version, submitted, 0);
-            entry.block_versions = job.block_versions;
-            entry.team = leader.team_index.get(&entry.spec().team).copied();
-            leader.jobs.insert(entry.id().clone(), entry);
+            leader.insert_loaded(now, now_ms, job);
         }
         for (record, version) in loaded.hires {
             let hire = Hire { record, version, writing: false, dirty: false, asking: false, asked_at: now };
@@ -451,8 +448,7 @@
 
     /// Writes what has gathered long enough.
     fn flush_records(&mut self, now: Instant) {
-        let tuning = &self.config.tuning;
-        let wait = self.config.settings.cluster.workers.report().mul_f64(tuning.batch_ratio);
+        let wait = self.config.tuning.batch;
         let due: Vec<JobId> = self
             .jobs
             .values()
@@ -667,6 +663,40 @@
         }
     }
 
+    /// Takes jobs in that the reconciler brought back among the living.
+    pub fn revive(&mut self, now: Instant, now_ms: u64, jobs: Vec<LoadedJob>) {
+        for job in jobs {
+            if !self.jobs.contains_key(&job.record.spec.id) {
+                self.insert_loaded(now, now_ms, job);
+            }
+        }
+    }
+
+    fn insert_loaded(&mut self, now: Instant, now_ms: u64, job: LoadedJob) {
+        let age = Duration::from_millis(now_ms.saturating_sub(job.record.submitted_ms));
+        let submitted = now.checked_sub(age).unwrap_or(now);
+        let mut entry = Job::new(job.record, job.version, job.live_version, submitted, 0);
+        entry.block_versions = job.block_versions;
+        entry.team = self.team_index.get(&entry.spec().team).copied();
+        self.jobs.insert(entry.id().clone(), entry);
+    }
+
+    /// For operators.
+    pub fn figures(&self, figures: MapBuilder) -> MapBuilder {
+        let pending: u32 = self.jobs.values().map(Job::pending).sum();
+        let active: usize = self.jobs.values().map(|j| j.active.len()).sum();
+        let booting = self.machines.values().filter(|m| m.phase == Phase::Booting).count();
+        figures
+            .set("epoch", self.epoch)
+            .set("jobs", self.jobs.len() as u64)
+            .set("tasksWaiting", pending)
+            .set("tasksActive", active as u64)
+            .set("machines", self.machines.len() as u64)
+            .set("machinesBooting", booting as u64)
+            .set("accountedFor", self.was_whole)
+            .set("submissionsRefused", self.refused)
+    }
+
     /// For the log.
     pub fn summary(&self) -> String {
         let booting = self.machines.values().filter(|m| m.phase == Phase::Booting).count();
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use hdrhistogram::Histogram;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, MissedTickBehavior};
@@ -15,13 +16,14 @@
 use super::election::Role;
 use super::leader::{Action, Answer, Config, Leader, Loaded, LoadedJob};
 use super::model::ReplyTo;
-use crate::protocol::cbor::{Malformed, decode, encode};
+use super::reconciler::{self, Finding};
+use crate::protocol::cbor::{Malformed, MapBuilder, decode, encode};
 use crate::protocol::cloud::decode_catalog;
 use crate::protocol::jobs::{JobId, JobSpec, JobStatus};
 use crate::protocol::workers::{Report, direct_orders, report_answer, report_elsewhere};
 use crate::protocol::{BODY_LIMIT, HEAD_LIMIT};
 use crate::storage::records::{
-    CATALOG, EXPERIENCE, Experience, HIRES, HireRecord, JobRecord, LIVE, RECORDS, block_key, blocks,
+    CATALOG, EXPERIENCE, Experience, HIRES, HireRecord, JobRecord, LIVE, OVER, RECORDS, block_key, blocks,
     record_key,
 };
 use crate::storage::service::{Class, Store, StoreError};
@@ -44,18 +46,28 @@
 /// five seconds for a submission and two for a poll.
 const PATIENCE: Duration = Duration::from_millis(3000);
 const POLL_PATIENCE: Duration = Duration::from_millis(1500);
+const LOG_INTERVAL: Duration = Duration::from_secs(10);
 const TICK: Duration = Duration::from_millis(200);
 
 type Reply = oneshot::Sender<Answer>;
 
 enum UserMessage {
     /// `forwarded`: from another controller, not to be passed on again.
-    Call { call: PeerCall, reply: Reply, forwarded: bool },
+    Call {
+        call: PeerCall,
+        reply: Reply,
+        forwarded: bool,
+        arrived: Instant,
+    },
+    Status {
+        reply: Reply,
+    },
 }
 
 struct ReportMessage {
     report: Report,
     reply: oneshot::Sender<Answer>,
+    arrived: Instant,
 }
 
 enum Inner {
@@ -64,6 +76,7 @@
     CloudDone { epoch: u64, ticket: u64, result: CloudResult },
     LookedUp { final_status: Option<JobStatus> },
     DirectDone,
+    Reconciled { epoch: u64, from: String, revived: Vec<LoadedJob> },
 }
 
 /// Speaks to the actor; answers HTTP requests and other controllers.
@@ -76,9 +89,13 @@
 
 impl Front {
     async fn user(&self, call: PeerCall, forwarded: bool) -> Answer {
+        self.ask(|reply| UserMessage::Call { call, reply, forwarded, arrived: Instant::now() }).await
+    }
+
+    async fn ask(&self, message: impl FnOnce(Reply) -> UserMessage) -> Answer {
         let (reply, answer) = oneshot::channel();
         // A full buffer holds nobody: the edge refuses at once.
-        if self.users.try_send(UserMessage::Call { call, reply, forwarded }).is_err() {
+        if self.users.try_send(message(reply)).is_err() {
             return Answer::later(429, "too many requests at once", 1);
         }
         answer.await.unwrap_or_else(|_| Answer::later(503, "try again", 1))
@@ -90,7 +107,7 @@
             Err(error) => return Answer::refused(400, &error.to_string()),
         };
         let (reply, answer) = oneshot::channel();
-        if self.reports.try_send(ReportMessage { report, reply }).is_err() {
+        if self.reports.try_send(ReportMessage { report, reply, arrived: Instant::now() }).is_err() {
             return Answer::later(503, "too many reports at once", 1);
         }
         answer.await.unwrap_or_else(|_| Answer::later(503, "try again", 1))
@@ -105,6 +122,7 @@
             "/agent/beat" if post => self.report(&request.body).await,
             "/agent/beat" | "/api/jobs" if !post => Answer::refused(405, "POST only"),
             "/api/jobs" => self.user(PeerCall::Submit(request.body), false).await,
+            "/status" if get => self.ask(|reply| UserMessage::Status { reply }).await,
             "/ready" if get => {
                 if *self.ready.borrow() {
                     Answer { status: 200, body: Vec::new(), retry_after_s: None }
@@ -165,6 +183,11 @@
     inner: mpsc::Sender<Inner>,
     last_led: Instant,
     logged_at: Instant,
+    /// Where the walk through the finished jobs' rows goes on.
+    walk_from: String,
+    walk_at: Instant,
+    walking: bool,
+    statistics: Statistics,
 }
 
 /// Final standings, bounded: two generations, the older dropped when the
@@ -232,6 +255,10 @@
             inner: inner_in,
             last_led: now,
             logged_at: now,
+            walk_from: String::new(),
+            walk_at: now,
+            walking: false,
+            statistics: Statistics::new(),
         };
         let front = Front { users: users_in, reports: reports_in, ready: is_ready };
         (node, Inputs { users, reports, inner, roles }, front)
@@ -252,9 +279,13 @@
                 Some(inner) = inputs.inner.recv() => self.take_inner(inner),
                 _ = tick.tick() => self.tick(),
                 Some(message) = inputs.reports.recv() => self.take_report(message),
-                Some(UserMessage::Call { call, reply, forwarded }) = inputs.users.recv() => {
-                    self.take_user(call, reply, forwarded);
-                }
+                Some(message) = inputs.users.recv() => match message {
+                    UserMessage::Call { call, reply, forwarded, arrived } => {
+                        self.take_user(call, reply, forwarded);
+                        self.statistics.user(arrived);
+                    }
+                    UserMessage::Status { reply } => drop(reply.send(Answer::new(200, &self.status()))),
+                },
                 else => return,
             }
             self.carry_out();
@@ -345,6 +376,13 @@
                 }
             }
             Inner::DirectDone => self.directs -= 1,
+            Inner::Reconciled { epoch, from, revived } => {
+                self.walking = false;
+                self.walk_from = from;
+                if let Some(leader) = self.leader.as_mut().filter(|l| l.epoch() == epoch) {
+                    leader.revive(now, wall_ms(), revived);
+                }
+            }
         }
     }
 
@@ -377,12 +415,30 @@
         let lease = self.config.settings.cluster.workers.lease();
         let ready = known || (*self.ready.borrow() && now < self.last_led + lease * 2);
         self.ready.send_if_modified(|before| std::mem::replace(before, ready) != ready);
-        if now > self.logged_at + Duration::from_secs(10) {
+        if now > self.logged_at + LOG_INTERVAL {
             self.logged_at = now;
             if let Some(leader) = &self.leader {
-                tracing::info!("{}", leader.summary());
+                tracing::info!("{} {}", leader.summary(), self.statistics.line());
             }
         }
+        self.reconcile(now);
+    }
+
+    /// Compares one page of finished jobs' rows with their records. A row that
+    /// calls live work over would otherwise strand it: a takeover reads only
+    /// the rows of the living.
+    fn reconcile(&mut self, now: Instant) {
+        let Some(leader) = self.leader.as_ref().filter(|l| l.valid(now)) else { return };
+        if self.walking || now < self.walk_at + self.config.tuning.reconcile {
+            return;
+        }
+        (self.walking, self.walk_at) = (true, now);
+        let (store, inner, epoch) = (self.store.clone(), self.inner.clone(), leader.epoch());
+        let (from, value_kb) = (self.walk_from.clone(), self.config.settings.cluster.state.value_kb);
+        tokio::spawn(async move {
+            let (next, revived) = walk(&store, epoch, &from, value_kb).await.unwrap_or((from, Vec::new()));
+            let _ = inner.send(Inner::Reconciled { epoch, from: next, revived }).await;
+        });
     }
 
     fn take_report(&mut self, message: ReportMessage) {
@@ -399,6 +455,22 @@
             },
         };
         let _ = message.reply.send(answer);
+        self.statistics.report(message.arrived);
+    }
+
+    /// Figures for operators.
+    fn status(&self) -> ciborium::value::Value {
+        let role = match &self.role {
+            Role::Leaderless => "leaderless".to_owned(),
+            Role::Follows { leader } => format!("follows {leader}"),
+            Role::Leads { .. } => "leads".to_owned(),
+        };
+        let figures = MapBuilder::new().set("name", self.config.settings.name.as_str()).set("role", role);
+        let figures = match &self.leader {
+            Some(leader) => leader.figures(figures),
+            None => figures,
+        };
+        self.statistics.figures(figures).build()
     }
 
     fn take_user(&mut self, call: PeerCall, reply: Reply, forwarded: bool) {
@@ -592,6 +664,36 @@
     u64::try_from(passed.as_millis()).unwrap_or(u64::MAX)
 }
 
+/// Rows compared with their records in one round.
+const ROWS_A_ROUND: usize = 16;
+
+/// One round of the reconciler: where to go on, and the jobs that a repair
+/// brought back among the living.
+async fn walk(
+    store: &Store,
+    epoch: u64,
+    from: &str,
+    value_kb: f64,
+) -> Result<(String, Vec<LoadedJob>), StoreError> {
+    let (jobs, next) = reconciler::page_of_jobs(store, OVER, from, ROWS_A_ROUND).await?;
+    let mut revived = Vec::new();
+    for job in &jobs {
+        let examined = reconciler::examine(store, job).await?;
+        if let Finding::Suspect(reason) = examined.finding {
+            tracing::error!(%job, reason, "not repaired; `audit` tells more");
+        }
+        if let Some(repair) = examined.repair(epoch) {
+            tracing::error!(%job, finding = ?examined.finding, "a row differs from its record; repairing it");
+            let live_version = store.commit(repair).await?;
+            if examined.finding == Finding::Stranded {
+                revived.extend(load_job(store, &record_key(job), live_version, value_kb).await?);
+            }
+        }
+    }
+    // At the end it begins anew.
+    Ok((next.unwrap_or_default(), revived))
+}
+
 /// Reads all unfinished work and the fleet.
 async fn load(store: &Store, value_kb: f64) -> Result<Loaded, StoreError> {
     let mut loaded = Loaded::default();
@@ -616,26 +718,7 @@
         let store = store.clone();
         reads.spawn(async move {
             let key = format!("{RECORDS}{}", row.key.strip_prefix(LIVE).unwrap_or_default());
-            let Some(entry) = store.get(Class::Accept, &key).await? else {
-                tracing::error!(row = %row.key, "a row without a record; left alone");
-                return Ok(None);
-            };
-            let mut record = match JobRecord::decode(&entry.value) {
-                Ok(record) => record,
-                Err(error) => {
-                    tracing::error!(%key, %error, "unreadable record; left alone");
-                    return Ok(None);
-                }
-            };
-            let mut block_versions = Vec::new();
-            for block in 0..blocks(record.spec.tasks, value_kb) {
-                let found = store.get(Class::Accept, &block_key(&record.spec.id, block)).await?;
-                block_versions.push(found.as_ref().map_or(0, |b| b.version));
-                if let Some(Err(error)) = found.map(|b| record.add_block(&b.value)) {
-                    tracing::error!(%key, %error, "unreadable block; its tasks run again");
-                }
-            }
-            Ok(Some(LoadedJob { record, version: entry.version, live_version: row.version, block_versions }))
+            load_job(&store, &key, row.version, value_kb).await
         });
     }
     while let Some(read) = reads.join_next().await {
@@ -645,3 +728,81 @@
     }
     Ok(loaded)
 }
+
+/// Reads one unfinished job; `None` if its record cannot be used.
+async fn load_job(
+    store: &Store,
+    key: &str,
+    live_version: u64,
+    value_kb: f64,
+) -> Result<Option<LoadedJob>, StoreError> {
+    let Some(entry) = store.get(Class::Accept, key).await? else {
+        tracing::error!(%key, "a row without a record; left alone");
+        return Ok(None);
+    };
+    let mut record = match JobRecord::decode(&entry.value) {
+        Ok(record) => record,
+        Err(error) => {
+            tracing::error!(%key, %error, "unreadable record; left alone");
+            return Ok(None);
+        }
+    };
+    let mut block_versions = Vec::new();
+    for block in 0..blocks(record.spec.tasks, value_kb) {
+        let found = store.get(Class::Accept, &block_key(&record.spec.id, block)).await?;
+        block_versions.push(found.as_ref().map_or(0, |b| b.version));
+        if let Some(Err(error)) = found.map(|b| record.add_block(&b.value)) {
+            tracing::error!(%key, %error, "unreadable block; its tasks run again");
+        }
+    }
+    Ok(Some(LoadedJob { record, version: entry.version, live_version, block_versions }))
+}
+
+/// Figures for operators: how long answers take, and how many are refused.
+struct Statistics {
+    reports: Histogram<u32>,
+    users: Histogram<u32>,
+}
+
+fn micros(since: Instant) -> u64 {
+    u64::try_from(since.elapsed().as_micros()).unwrap_or(u64::MAX)
+}
+
+fn ms(histogram: &Histogram<u32>, quantile: f64) -> f64 {
+    histogram.value_at_quantile(quantile) as f64 / 1000.0
+}
+
+impl Statistics {
+    fn new() -> Self {
+        // In microseconds; two digits take a few kilobytes, and what is beyond
+        // the bound counts as the bound.
+        let histogram = || Histogram::new_with_max(60_000_000, 2).expect("constant and valid bounds");
+        Statistics { reports: histogram(), users: histogram() }
+    }
+
+    /// How long a message waited for the actor and was worked on.
+    fn report(&mut self, arrived: Instant) {
+        self.reports.saturating_record(micros(arrived));
+    }
+
+    fn user(&mut self, arrived: Instant) {
+        self.users.saturating_record(micros(arrived));
+    }
+
+    fn line(&self) -> String {
+        let part = |h: &Histogram<u32>| format!("{} p99 {:.1} ms", h.len(), ms(h, 0.99));
+        format!("reports {} users {}", part(&self.reports), part(&self.users))
+    }
+
+    fn figures(&self, figures: MapBuilder) -> MapBuilder {
+        let part = |h: &Histogram<u32>| {
+            MapBuilder::new()
+                .set("count", h.len())
+                .set("p50Ms", ms(h, 0.5))
+                .set("p99Ms", ms(h, 0.99))
+                .set("maxMs", h.max() as f64 / 1000.0)
+                .build()
+        };
+        figures.set("reports", part(&self.reports)).set("users", part(&self.users))
+    }
+}
--- a/src/coordination/reconciler.rs
+++ b/src/coordination/reconciler.rs
@@ -4,7 +4,14 @@
 //! it, and a row that calls live work over. Everything else is reported and
 //! left alone.
 
-use crate::protocol::jobs::Standing;
+use std::collections::BTreeSet;
+
+use crate::protocol::jobs::{JobId, Standing};
+use crate::protocol::state::{Change, Condition};
+use crate::storage::records::{
+    JobRecord, LIVE, OVER, RECORDS, decode_row, live_key, over_key, record_key, row,
+};
+use crate::storage::service::{Class, Store, StoreError, Transaction};
 
 /// What the store holds of one job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -47,10 +54,133 @@
     }
 }
 
+/// What was found of one job, with what a repair is conditional on.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Examined {
+    pub job: JobId,
+    pub finding: Finding,
+    record_version: u64,
+    live_version: u64,
+    over_version: u64,
+}
+
+impl Examined {
+    /// The repair, for the sound classes. It holds only while record and rows
+    /// are as they were read.
+    pub fn repair(&self, epoch: u64) -> Option<Transaction> {
+        let conditions = vec![
+            Condition { key: record_key(&self.job), version: self.record_version },
+            Condition { key: live_key(&self.job), version: self.live_version },
+            Condition { key: over_key(&self.job), version: self.over_version },
+        ];
+        let put = |key: String, standing| Change::Put { key, value: row(standing), lease: None };
+        let mut changes = Vec::new();
+        match self.finding {
+            Finding::RowBehind(standing) => {
+                changes.push(put(over_key(&self.job), standing));
+                if self.live_version > 0 {
+                    changes.push(Change::Delete { key: live_key(&self.job) });
+                }
+            }
+            Finding::Stranded => {
+                if self.live_version == 0 {
+                    changes.push(put(live_key(&self.job), Standing::Queued));
+                }
+                changes.push(Change::Delete { key: over_key(&self.job) });
+            }
+            Finding::Consistent | Finding::Suspect(_) => return None,
+        }
+        Some(Transaction { class: Class::Rest, epoch, conditions, changes })
+    }
+}
+
+/// Reads and judges what the store holds of one job.
+///
+/// The rows are read before the record: a row is only ever written after the
+/// record that it follows, so a row that is ahead of a record read later is
+/// damage and not a write under way.
+pub async fn examine(store: &Store, job: &JobId) -> Result<Examined, StoreError> {
+    let over = store.get(Class::Rest, &over_key(job)).await?;
+    let live = store.get(Class::Rest, &live_key(job)).await?;
+    let record = store.get(Class::Rest, &record_key(job)).await?;
+    let version = |entry: &Option<crate::protocol::state::Entry>| entry.as_ref().map_or(0, |e| e.version);
+    let unreadable = Finding::Suspect("an unreadable record or row");
+    let over_row = over.as_ref().map(|e| decode_row(&e.value));
+    let decoded = record.as_ref().map(|e| JobRecord::decode(&e.value));
+    let finding = match (over_row.transpose(), decoded.transpose()) {
+        (Ok(over_row), Ok(decoded)) => judge(Evidence {
+            record: decoded.map(|r| r.final_standing()),
+            live_row: live.is_some(),
+            over_row,
+        }),
+        _ => unreadable,
+    };
+    Ok(Examined {
+        job: job.clone(),
+        finding,
+        record_version: version(&record),
+        live_version: version(&live),
+        over_version: version(&over),
+    })
+}
+
+/// The jobs named by one page of keys with a prefix, and where to go on.
+pub async fn page_of_jobs(
+    store: &Store,
+    prefix: &str,
+    from: &str,
+    most: usize,
+) -> Result<(Vec<JobId>, Option<String>), StoreError> {
+    let page = store.page(prefix, from, most).await?;
+    let next = page.more.then(|| page.entries.last().map(|e| e.key.clone())).flatten();
+    let jobs = page.entries.iter().filter_map(|e| JobId::parse(e.key.strip_prefix(prefix)?)).collect();
+    Ok((jobs, next))
+}
+
+/// Every job that a record or a row names.
+pub async fn all_jobs(store: &Store) -> Result<BTreeSet<JobId>, StoreError> {
+    let mut found = BTreeSet::new();
+    for prefix in [RECORDS, LIVE, OVER] {
+        let mut from = String::new();
+        loop {
+            let (jobs, next) = page_of_jobs(store, prefix, &from, 200).await?;
+            found.extend(jobs);
+            match next {
+                Some(next) => from = next,
+                None => break,
+            }
+        }
+    }
+    Ok(found)
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
 
+    #[test]
+    fn a_repair_holds_only_while_all_is_as_it_was_read() {
+        let job = JobId::parse("job-1").expect("valid");
+        let examined = |finding, live_version, over_version| Examined {
+            job: job.clone(),
+            finding,
+            record_version: 7,
+            live_version,
+            over_version,
+        };
+        let stranded = examined(Finding::Stranded, 0, 9).repair(40).expect("sound");
+        assert_eq!(stranded.epoch, 40);
+        let versions: Vec<u64> = stranded.conditions.iter().map(|c| c.version).collect();
+        assert_eq!(versions, [7, 0, 9]);
+        let keys: Vec<&str> = stranded.changes.iter().map(Change::key).collect();
+        assert_eq!(keys, ["live/job-1", "over/job-1"]);
+        let behind = examined(Finding::RowBehind(Standing::Done), 8, 0).repair(40).expect("sound");
+        let keys: Vec<&str> = behind.changes.iter().map(Change::key).collect();
+        assert_eq!(keys, ["over/job-1", "live/job-1"]);
+        assert_eq!(examined(Finding::Suspect("x"), 1, 1).repair(40), None);
+        assert_eq!(examined(Finding::Consistent, 1, 0).repair(40), None);
+    }
+
     #[test]
     fn only_sound_cases_are_repaired_and_all_from_the_record() {
         use Standing::{Cancelled, Done};
--- a/src/coordination/tests.rs
+++ b/src/coordination/tests.rs
@@ -10,7 +10,7 @@
 use super::cloud::{CloudCall, CloudError, CloudReply};
 use super::leader::{Action, Answer, Config, Leader, Loaded, LoadedJob};
 use super::model::ReplyTo;
-use crate::policy::Tuning;
+use crate::policy;
 use crate::protocol::cbor::{Fields, decode};
 use crate::protocol::cloud::{HireRequest, ListPage, Listed, ListedState, MachineType};
 use crate::protocol::jobs::tests::sample;
@@ -87,7 +87,8 @@
 impl Rig {
     /// A leader that has just read these records.
     fn new(jobs: Vec<LoadedJob>, hires: Vec<(HireRecord, u64)>) -> Self {
-        let config = Arc::new(Config { settings: settings::tests::sample(), tuning: Tuning::default() });
+        let config =
+            Arc::new(Config { settings: settings::tests::sample(), tuning: policy::tests::tuning() });
         let now = Instant::now();
         let loaded = Loaded { jobs, hires, catalog: Some((catalog(), 2)), experience: None };
         let mut leader = Leader::new(config.clone(), EPOCH, now, MS, loaded);
@@ -376,7 +377,7 @@
     rig.accept(sample("job-1", "red", 1, 1.0));
     starts(&rig.beat("vm-1", 5, EPOCH, vec![])).remove(0);
     rig.cloud.clear();
-    let silent = rig.config.settings.cluster.workers.lease_s * rig.config.tuning.silence_ratio;
+    let silent = rig.config.tuning.silence.as_secs_f64();
     let mut seq = 5;
     for _ in 0..((silent / 2.0) as u64 + 2) {
         rig.pass(2.0);
--- a/src/storage/service.rs
+++ b/src/storage/service.rs
@@ -27,6 +27,8 @@
 const COMMIT_BYTES: usize = 48 * 1024;
 /// Largest answer taken: a page of 512 KiB and its framing.
 const LIMITS: Limits = Limits { head: 8 * 1024, body: 640 * 1024 };
+/// Keys asked for at once in a scan.
+const PAGE: usize = 500;
 /// Requests under way at once.
 const IN_FLIGHT: usize = 8;
 
@@ -120,9 +122,9 @@
         decode_entry(&value).ok().filter(|e| e.key == key).map(Some).ok_or(StoreError::Unavailable)
     }
 
-    pub async fn page(&self, prefix: &str, from: &str) -> Result<Page, StoreError> {
+    pub async fn page(&self, prefix: &str, from: &str, most: usize) -> Result<Page, StoreError> {
         let after = if from.is_empty() { String::new() } else { format!("&from={from}") };
-        let target = format!("/keys?starts={prefix}{after}&page=500");
+        let target = format!("/keys?starts={prefix}{after}&page={most}");
         let value = self.read(Class::Rest, target).await?.ok_or(StoreError::Unavailable)?;
         let page = decode_page(&value).map_err(|_| StoreError::Unavailable)?;
         let sound =
@@ -135,7 +137,7 @@
         let mut found: Vec<Entry> = Vec::new();
         loop {
             let from = found.last().map(|e| e.key.clone()).unwrap_or_default();
-            let page = self.page(prefix, &from).await?;
+            let page = self.page(prefix, &from, PAGE).await?;
             let more = page.more;
             found.extend(page.entries);
             if !more {
