--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -806,3 +806,73 @@
         figures.set("reports", part(&self.reports)).set("users", part(&self.users))
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::storage::stand_in::{StandIn, store};
+    use crate::transport::codec::Request;
+
+    fn request(method: &str, target: &str, body: &[u8]) -> Request {
+        Request { method: method.into(), target: target.into(), body: body.to_vec(), close: false }
+    }
+
+    async fn rig() -> (Node, Inputs, Front) {
+        let world = StandIn::start(&[]).await;
+        let settings = crate::settings::tests::sample();
+        let cloud = super::super::cloud::start(world.address(), 1.0, Duration::from_secs(1));
+        let config = Arc::new(Config { settings, tuning: crate::policy::tests::tuning() });
+        let (leads, _) = watch::channel(false);
+        let (_roles_in, roles) = mpsc::channel(1);
+        Node::new(config, store(world.address(), 12), cloud, leads, roles)
+    }
+
+    /// The edge refuses at once: nobody is held while the buffer is full.
+    #[tokio::test]
+    async fn a_full_buffer_refuses_at_once_with_a_time_to_come_back() {
+        let (_node, _inputs, front) = rig().await;
+        for _ in 0..USER_BUFFER {
+            let (reply, _) = oneshot::channel();
+            assert!(front.users.try_send(UserMessage::Status { reply }).is_ok());
+        }
+        let answer = front.route(request("GET", "/api/jobs/job-1", b"")).await;
+        assert_eq!((answer.status, answer.retry_after_s), (429, Some(1)));
+    }
+
+    #[tokio::test]
+    async fn without_a_leader_submissions_are_refused_and_polls_answered_from_records() {
+        let (mut node, _inputs, _front) = rig().await;
+        let spec = crate::protocol::jobs::tests::sample("job-1", "red", 1, 1.0);
+        let ask = |node: &mut Node, call| {
+            let (reply, answer) = oneshot::channel();
+            node.take_user(call, reply, false);
+            answer
+        };
+        let submit = PeerCall::Submit(encode(&spec.encode().build()));
+        let answer = ask(&mut node, submit).await.expect("answered");
+        assert_eq!((answer.status, answer.retry_after_s), (503, Some(1)));
+        let answer = ask(&mut node, PeerCall::Withdraw("job-1".into())).await.expect("answered");
+        assert_eq!(answer.status, 503);
+        let answer = ask(&mut node, PeerCall::Poll("job-1".into())).await.expect("answered");
+        assert_eq!(answer.status, 404, "the record is what decides it");
+        let answer = ask(&mut node, PeerCall::Submit(b"junk".to_vec())).await.expect("answered");
+        assert_eq!(answer.status, 400);
+    }
+
+    #[tokio::test]
+    async fn wrong_paths_and_methods_get_their_status() {
+        let (_node, _inputs, front) = rig().await;
+        for (method, target, status) in [
+            ("GET", "/nowhere", 404),
+            ("GET", "/api/jobs", 405),
+            ("DELETE", "/api/jobs/job-1", 405),
+            ("GET", "/api/jobs/job-1/withdraw", 405),
+            ("GET", "/api/jobs/not-a-job", 404),
+            ("GET", "/agent/beat", 405),
+            ("POST", "/agent/beat", 400),
+            ("GET", "/ready", 503),
+        ] {
+            assert_eq!(front.route(request(method, target, b"")).await.status, status, "{method} {target}");
+        }
+    }
+}
--- a/src/storage/mod.rs
+++ b/src/storage/mod.rs
@@ -4,3 +4,6 @@
 pub mod done_set;
 pub mod records;
 pub mod service;
+
+#[cfg(test)]
+pub mod stand_in;
--- a/src/storage/service.rs
+++ b/src/storage/service.rs
@@ -562,152 +562,18 @@
 
 #[cfg(test)]
 mod tests {
-    use std::sync::mpsc as std_mpsc;
-
     use super::*;
-    use crate::transport::codec::Request as HttpRequest;
-    use crate::transport::server::{Handler, ServerOptions, serve};
-
-    /// What the scripted service does with the next commit.
-    #[derive(Debug, Clone, Copy, PartialEq)]
-    enum Script {
-        /// Carries it out and says so.
-        Serve,
-        /// Carries it out; the answer makes no sense to the client.
-        LoseAnswer,
-        /// Says nothing sensible, and carries it out when the next one comes.
-        Delay,
-        /// 503: not carried out.
-        Refuse,
-    }
-
-    #[derive(Default)]
-    struct World {
-        values: std::collections::BTreeMap<String, (Value, u64)>,
-        revision: u64,
-        late: Option<Value>,
-        commits: Vec<usize>,
-    }
-
-    type Ask = (HttpRequest, oneshot::Sender<Response>);
-
-    /// A stand-in for the state service: one task owns the world.
-    #[derive(Clone)]
-    struct StandIn(mpsc::Sender<Ask>);
-
-    impl Handler for StandIn {
-        async fn handle(&self, request: HttpRequest) -> Response {
-            let (reply, answer) = oneshot::channel();
-            self.0.send((request, reply)).await.expect("the world runs");
-            answer.await.expect("the world answers")
-        }
-    }
-
-    impl World {
-        fn version(&self, key: &str) -> u64 {
-            self.values.get(key).map_or(0, |(_, version)| *version)
-        }
-
-        fn commit(&mut self, body: &Value) -> (u16, Value) {
-            let f = Fields::of(body).expect("a map");
-            let failed: Vec<&str> = f
-                .list("if")
-                .expect("conditions")
-                .iter()
-                .map(|c| Fields::of(c).expect("a map"))
-                .filter(|c| self.version(c.text("key").expect("key")) != c.count("stamp").expect("stamp"))
-                .map(|c| c.text("key").expect("key"))
-                .collect();
-            let changes = f.list("apply").expect("changes");
-            self.commits.push(changes.len());
-            if !failed.is_empty() {
-                let failed = crate::protocol::cbor::texts(failed);
-                return (409, MapBuilder::new().set("failed", failed).set("ledger", self.revision).build());
-            }
-            self.revision += 1;
-            for change in changes {
-                let c = Fields::of(change).expect("a map");
-                match c.opt_text("remove").expect("text") {
-                    Some(key) => drop(self.values.remove(key)),
-                    None => {
-                        let value = c.get("data").expect("data").clone();
-                        let key = c.text("write").expect("key").to_owned();
-                        self.values.insert(key, (value, self.revision));
-                    }
-                }
-            }
-            (200, MapBuilder::new().set("ledger", self.revision).build())
-        }
-
-        fn answer(&mut self, request: &HttpRequest, script: &mut VecDeque<Script>) -> (u16, Value) {
-            if let Some(key) = request.target.strip_prefix("/keys/") {
-                return match self.values.get(key) {
-                    Some((value, version)) => {
-                        let entry = MapBuilder::new().set("key", key).set("data", value.clone());
-                        (200, entry.set("stamp", *version).build())
-                    }
-                    None => (404, MapBuilder::new().set("ledger", self.revision).build()),
-                };
-            }
-            let body = decode(&request.body).expect("CBOR");
-            if let Some(late) = self.late.take() {
-                self.commit(&late);
-            }
-            match script.pop_front().unwrap_or(Script::Serve) {
-                Script::Serve => self.commit(&body),
-                Script::LoseAnswer => {
-                    self.commit(&body);
-                    (200, Value::Null)
-                }
-                Script::Delay => {
-                    self.late = Some(body);
-                    (502, Value::Null)
-                }
-                Script::Refuse => (503, Value::Null),
-            }
-        }
-    }
-
-    /// Starts a stand-in in which epoch 7 leads, and the actor against it.
-    async fn rig(script: &[Script]) -> (Store, std_mpsc::Receiver<Vec<usize>>) {
-        let (asks, mut asked) = mpsc::channel::<Ask>(16);
-        let (tell, told) = std_mpsc::channel();
-        let mut script: VecDeque<Script> = script.iter().copied().collect();
-        tokio::spawn(async move {
-            let mut world = World::default();
-            world.values.insert(LEADER.into(), (Value::Null, 7));
-            world.revision = 7;
-            while let Some((request, reply)) = asked.recv().await {
-                let (status, body) = world.answer(&request, &mut script);
-                let _ = tell.send(world.commits.clone());
-                let body = encode(&body);
-                let _ = reply.send(Response { status, body, retry_after_s: None, close: false });
-            }
-        });
-        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-        let address = listener.local_addr().expect("bound");
-        let patience = Duration::from_secs(5);
-        let options = ServerOptions { limits: LIMITS, connections: 8, idle: patience, patience };
-        tokio::spawn(serve(listener, options, StandIn(asks)));
-        let limits = State { rps: 1000.0, write_rps: 1000.0, value_kb: 8.0, txn_ops: 4 };
-        let (leads, leading) = tokio::sync::watch::channel(true);
-        // The actor stops when this end is dropped.
-        std::mem::forget(leads);
-        (start(address, limits, 1, patience / 100, leading), told)
-    }
+    use crate::storage::stand_in::{Script, StandIn, put, store};
 
-    fn put(epoch: u64, key: &str, version: u64) -> Transaction {
-        Transaction {
-            class: Class::Accept,
-            epoch,
-            conditions: vec![Condition { key: key.into(), version }],
-            changes: vec![Change::Put { key: key.into(), value: MapBuilder::new().build(), lease: None }],
-        }
+    async fn rig(script: &[Script]) -> (Store, StandIn) {
+        let world = StandIn::start(script).await;
+        world.seed(LEADER, Value::Null, 7).await;
+        (store(world.address(), 4), world)
     }
 
     #[tokio::test]
     async fn a_stale_epoch_changes_nothing() {
-        let (store, _told) = rig(&[]).await;
+        let (store, _world) = rig(&[]).await;
         assert_eq!(store.commit(put(6, "a", 0)).await, Err(StoreError::Fenced));
         assert_eq!(store.get(Class::Accept, "a").await, Ok(None));
         assert_eq!(store.commit(put(7, "a", 0)).await, Ok(8));
@@ -719,7 +585,7 @@
     #[tokio::test]
     async fn an_unknown_outcome_is_settled_before_it_is_reported() {
         for script in [Script::LoseAnswer, Script::Delay, Script::Refuse] {
-            let (store, _told) = rig(&[script]).await;
+            let (store, _world) = rig(&[script]).await;
             let version = store.commit(put(7, "a", 0)).await.expect("carried out");
             let entry = store.get(Class::Accept, "a").await.expect("served").expect("there");
             assert_eq!(entry.version, version, "{script:?}");
@@ -729,7 +595,7 @@
 
     #[tokio::test]
     async fn changes_of_several_callers_share_a_transaction_within_its_limit() {
-        let (store, told) = rig(&[]).await;
+        let (store, world) = rig(&[]).await;
         let mut tasks = tokio::task::JoinSet::new();
         for n in 0..10 {
             let store = store.clone();
@@ -738,11 +604,21 @@
         while let Some(result) = tasks.join_next().await {
             assert!(result.expect("no panic").is_ok());
         }
-        let commits = told.try_iter().last().expect("commits came");
+        let commits = world.commit_sizes().await;
         assert_eq!(commits.iter().sum::<usize>(), 10);
         assert!(commits.iter().all(|&ops| ops <= 4) && commits.len() < 10, "{commits:?}");
     }
 
+    #[tokio::test]
+    async fn a_scan_reads_all_pages() {
+        let (store, world) = rig(&[]).await;
+        for n in 0..1203 {
+            world.seed(&format!("k/{n:04}"), Value::Null, n + 8).await;
+        }
+        world.seed("l/1", Value::Null, 9000).await;
+        assert_eq!(store.scan("k/").await.expect("served").len(), 1203);
+    }
+
     #[test]
     fn renewals_may_spend_what_others_must_leave() {
         let now = Instant::now();
--- /dev/null
+++ b/src/storage/stand_in.rs
@@ -0,0 +1,239 @@
+//! A stand-in for the state service, for tests: real HTTP on a free loopback
+//! port, one task that owns the data, and a script of mishaps.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ciborium::value::Value;
+use tokio::sync::{mpsc, oneshot};
+
+use super::service::{self, Class, Store, Transaction};
+use crate::protocol::cbor::{Fields, MapBuilder, decode, encode, texts};
+use crate::protocol::state::{Change, Condition};
+use crate::settings::State;
+use crate::transport::codec::{Limits, Request, Response};
+use crate::transport::server::{Handler, ServerOptions, serve};
+
+/// What is done with the next commit.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Script {
+    /// Carries it out; the answer makes no sense to the client.
+    LoseAnswer,
+    /// Says nothing sensible, and carries it out when the next one comes.
+    Delay,
+    /// 503: not carried out.
+    Refuse,
+}
+
+#[derive(Debug, Clone)]
+struct Stored {
+    value: Value,
+    version: u64,
+    lease: Option<u64>,
+}
+
+#[derive(Default)]
+struct World {
+    entries: BTreeMap<String, Stored>,
+    revision: u64,
+    leases: u64,
+    late: Option<Value>,
+    script: VecDeque<Script>,
+    commits: Vec<usize>,
+}
+
+enum Ask {
+    Http(Request, oneshot::Sender<Response>),
+    Seed(String, Value, u64),
+    Commits(oneshot::Sender<Vec<usize>>),
+}
+
+/// Speaks to the stand-in; it ends with the test's runtime.
+#[derive(Clone)]
+pub struct StandIn {
+    asks: mpsc::Sender<Ask>,
+    address: SocketAddr,
+}
+
+impl Handler for StandIn {
+    async fn handle(&self, request: Request) -> Response {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.asks.send(Ask::Http(request, reply)).await;
+        // A watch is dropped unanswered: it waits, as in an outage.
+        match answer.await {
+            Ok(response) => response,
+            Err(_) => std::future::pending().await,
+        }
+    }
+}
+
+impl StandIn {
+    pub async fn start(script: &[Script]) -> Self {
+        let (asks, mut asked) = mpsc::channel(16);
+        let mut world = World { script: script.iter().copied().collect(), ..World::default() };
+        tokio::spawn(async move {
+            while let Some(ask) = asked.recv().await {
+                match ask {
+                    Ask::Http(request, reply) => {
+                        if let Some((status, body)) = world.answer(&request) {
+                            let response =
+                                Response { status, body: encode(&body), retry_after_s: None, close: false };
+                            let _ = reply.send(response);
+                        }
+                    }
+                    Ask::Seed(key, value, version) => {
+                        world.revision = world.revision.max(version);
+                        world.entries.insert(key, Stored { value, version, lease: None });
+                    }
+                    Ask::Commits(reply) => drop(reply.send(world.commits.clone())),
+                }
+            }
+        });
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("bound");
+        let patience = Duration::from_secs(30);
+        let limits = Limits { head: 8192, body: 1 << 20 };
+        let options = ServerOptions { limits, connections: 16, idle: patience, patience };
+        let stand_in = StandIn { asks, address };
+        tokio::spawn(serve(listener, options, stand_in.clone()));
+        stand_in
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    pub async fn seed(&self, key: &str, value: Value, version: u64) {
+        assert!(self.asks.send(Ask::Seed(key.to_owned(), value, version)).await.is_ok());
+    }
+
+    /// How many changes each commit asked for.
+    pub async fn commit_sizes(&self) -> Vec<usize> {
+        let (reply, answer) = oneshot::channel();
+        assert!(self.asks.send(Ask::Commits(reply)).await.is_ok());
+        answer.await.expect("the stand-in runs")
+    }
+}
+
+impl World {
+    fn answer(&mut self, request: &Request) -> Option<(u16, Value)> {
+        let target = request.target.as_str();
+        if let Some(key) = target.strip_prefix("/keys/") {
+            return Some(match self.entries.get(key) {
+                Some(stored) => (200, entry(key, stored)),
+                None => (404, MapBuilder::new().set("ledger", self.revision).build()),
+            });
+        }
+        if let Some(query) = target.strip_prefix("/keys?") {
+            return Some((200, self.page(query)));
+        }
+        if target.starts_with("/watch") {
+            return None;
+        }
+        if target == "/leases" {
+            self.leases += 1;
+            return Some((200, MapBuilder::new().set("permit", self.leases).build()));
+        }
+        if let Some(rest) = target.strip_prefix("/leases/") {
+            if request.method == "DELETE" {
+                let lease = rest.parse().ok();
+                self.entries.retain(|_, stored| stored.lease.is_none() || stored.lease != lease);
+            }
+            return Some((200, Value::Map(Vec::new())));
+        }
+        let body = decode(&request.body).expect("CBOR");
+        if let Some(late) = self.late.take() {
+            self.commit(&late);
+        }
+        Some(match self.script.pop_front() {
+            None => self.commit(&body),
+            Some(Script::LoseAnswer) => {
+                self.commit(&body);
+                (200, Value::Null)
+            }
+            Some(Script::Delay) => {
+                self.late = Some(body);
+                (502, Value::Null)
+            }
+            Some(Script::Refuse) => (503, Value::Null),
+        })
+    }
+
+    fn page(&self, query: &str) -> Value {
+        let field =
+            |name: &str| query.split('&').find_map(|part| part.strip_prefix(name)).unwrap_or_default();
+        let (prefix, from) = (field("starts="), field("from="));
+        let most: usize = field("page=").parse().expect("a page size");
+        let mut found = self.entries.iter().filter(|(k, _)| k.starts_with(prefix) && k.as_str() > from);
+        let entries = found.by_ref().take(most).map(|(k, stored)| entry(k, stored)).collect();
+        MapBuilder::new()
+            .set("entries", Value::Array(entries))
+            .set("more", found.next().is_some())
+            .set("ledger", self.revision)
+            .build()
+    }
+
+    fn commit(&mut self, body: &Value) -> (u16, Value) {
+        let f = Fields::of(body).expect("a map");
+        let version = |key: &str| self.entries.get(key).map_or(0, |stored| stored.version);
+        let failed: Vec<&str> = f
+            .list("if")
+            .expect("conditions")
+            .iter()
+            .map(|c| Fields::of(c).expect("a map"))
+            .filter(|c| version(c.text("key").expect("key")) != c.count("stamp").expect("stamp"))
+            .map(|c| c.text("key").expect("key"))
+            .collect();
+        let changes = f.list("apply").expect("changes");
+        self.commits.push(changes.len());
+        if !failed.is_empty() {
+            return (
+                409,
+                MapBuilder::new().set("failed", texts(failed)).set("ledger", self.revision).build(),
+            );
+        }
+        self.revision += 1;
+        for change in changes {
+            let c = Fields::of(change).expect("a map");
+            match c.opt_text("remove").expect("text") {
+                Some(key) => drop(self.entries.remove(key)),
+                None => {
+                    let value = c.get("data").expect("data").clone();
+                    let lease = c.opt_count("permit").expect("a lease");
+                    let stored = Stored { value, version: self.revision, lease };
+                    self.entries.insert(c.text("write").expect("key").to_owned(), stored);
+                }
+            }
+        }
+        (200, MapBuilder::new().set("ledger", self.revision).build())
+    }
+}
+
+fn entry(key: &str, stored: &Stored) -> Value {
+    MapBuilder::new()
+        .set("key", key)
+        .set("data", stored.value.clone())
+        .set("stamp", stored.version)
+        .set_some("permit", stored.lease)
+        .build()
+}
+
+/// The real actor, against the stand-in.
+pub fn store(address: SocketAddr, txn_ops: usize) -> Store {
+    let limits = State { rps: 10_000.0, write_rps: 10_000.0, value_kb: 8.0, txn_ops };
+    let (leads, leading) = tokio::sync::watch::channel(true);
+    // The actor would stop if this end were dropped.
+    std::mem::forget(leads);
+    service::start(address, limits, 1, Duration::from_millis(50), leading)
+}
+
+/// One put, on condition that the key has this version.
+pub fn put(epoch: u64, key: &str, version: u64) -> Transaction {
+    Transaction {
+        class: Class::Accept,
+        epoch,
+        conditions: vec![Condition { key: key.into(), version }],
+        changes: vec![Change::Put { key: key.into(), value: MapBuilder::new().build(), lease: None }],
+    }
+}
