--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -665,7 +665,7 @@
 }
 
 /// Rows compared with their records in one round.
-const ROWS_A_ROUND: usize = 16;
+const ROWS_A_ROUND: usize = 8;
 
 /// One round of the reconciler: where to go on, and the jobs that a repair
 /// brought back among the living.
