--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -242,8 +242,10 @@
                 failures: Vec::new(),
                 condemned: false,
                 idle_since: now,
-                unlisted: 0,
-                listed: false,
+                // One that had tasks was listed long ago: a takeover need not see
+                // it listed first to conclude from its absence.
+                unlisted: u32::from(was_used),
+                listed: was_used,
                 wanted: true,
             };
             self.machines.insert(id, machine);
@@ -442,13 +444,14 @@
         let cluster = &self.config.settings.cluster;
         let lag = Duration::from_secs_f64(cluster.cloud.list_lag_s);
         let quiet = cluster.workers.report().mul_f64(1.5);
+        let loaded_at = self.loaded_at;
         let mut lost = Vec::new();
         for m in self.machines.values_mut() {
             if round.seen.contains(&m.id) || m.phase == Phase::Deleting {
                 continue;
             }
             let old_enough = m.listed || m.rented + lag * 4 < round.started;
-            let silent = m.heard.is_none_or(|h| h + quiet < now);
+            let silent = m.heard.unwrap_or(loaded_at) + quiet < now;
             if old_enough && silent {
                 m.unlisted += 1;
                 if m.unlisted >= 2 {
