--- a/src/coordination/agents.rs
+++ b/src/coordination/agents.rs
@@ -36,9 +36,12 @@
     pub fn report(&mut self, now: Instant, report: &Report) -> ReportReply {
         // An answer with a lower token would be dropped and only hold the
         // worker here while its lease runs out.
-        if !self.valid(now) || report.token > self.epoch {
+        if report.token > self.epoch || self.is_over() {
             return ReportReply::Elsewhere;
         }
+        if !self.valid(now) {
+            return self.report_in_grace(now, report);
+        }
         let empty = ReportReply::Orders { token: self.epoch, orders: Vec::new() };
         if self.gone.contains(&report.machine) {
             // A late copy from a machine whose deletion was confirmed.
@@ -99,6 +102,24 @@
         ReportReply::Orders { token: epoch, orders }
     }
 
+    /// An answer without orders while the lease has lapsed, for a bounded time.
+    ///
+    /// An outage of the state service lapses every lease of ours, and would
+    /// take the workers' along if it lasted. Kept alive, they finish what they
+    /// have. Nothing is decided here; and whoever leads next waits for silent
+    /// machines that much longer, see [`super::leader::Config::takeover_proof`].
+    fn report_in_grace(&mut self, now: Instant, report: &Report) -> ReportReply {
+        let until = self.until + self.config.grace();
+        let Some(m) = self.machines.get_mut(&report.machine) else { return ReportReply::Elsewhere };
+        // Only machines that this epoch has heard are surely counted by it.
+        if now >= until || m.answered.is_none() || report.token < self.epoch {
+            return ReportReply::Elsewhere;
+        }
+        m.answered = Some(now);
+        m.heard = Some(now);
+        ReportReply::Orders { token: self.epoch, orders: Vec::new() }
+    }
+
     fn take_tasks(&mut self, now: Instant, report: &Report) {
         let machine = &report.machine;
         let mut listed: HashSet<SlotKey> = HashSet::with_capacity(report.tasks.len());
@@ -342,14 +363,15 @@
     /// has killed all its tasks.
     pub(super) fn prove_silent_machines(&mut self, now: Instant) {
         let proof = self.config.lease_proof();
-        let loaded_at = self.loaded_at;
+        let unheard = self.loaded_at + self.config.takeover_proof();
         let silent: Vec<MachineId> = self
             .machines
             .values()
             .filter(|m| m.phase != Phase::Booting || !m.known)
             .filter(|m| !m.known || !m.slots.is_empty())
-            // The last answer of an earlier leader came before we acquired.
-            .filter(|m| now >= m.answered.map_or(loaded_at, |a| a.max(loaded_at)) + proof)
+            // An answer of ours carries the higher token, after which those of
+            // an earlier leader are dropped.
+            .filter(|m| now >= m.answered.map_or(unheard, |a| a + proof))
             .map(|m| m.id.clone())
             .collect();
         for machine in silent {
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -136,6 +136,18 @@
         let workers = &self.settings.cluster.workers;
         workers.lease().mul_f64(1.002) + workers.report() / 4
     }
+
+    /// How long after its lease has lapsed a leader still answers reports,
+    /// without orders.
+    pub fn grace(&self) -> Duration {
+        self.settings.cluster.workers.lease() / 2
+    }
+
+    /// The same proof for a machine that this leader has never answered: an
+    /// earlier one may have answered it until the end of its grace.
+    pub fn takeover_proof(&self) -> Duration {
+        self.lease_proof() + self.grace()
+    }
 }
 
 pub struct Leader {
