--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -15,7 +15,7 @@
 use expression::{Fault, Type, Value};
 
 /// The policy in force where no file is given.
-const DEFAULT: &str = include_str!("../../deploy/default.policy");
+const DEFAULT: &str = include_str!("default.policy");
 const DEFAULT_NAME: &str = "default.policy";
 
 #[derive(Debug, Error)]
