--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -363,6 +363,7 @@
             }
         }
         for (machine, key, grace_s) in stops {
+            tracing::debug!(%machine, job = %key.0, task = key.1, "preempted");
             self.order_stop(&machine, &key, grace_s);
         }
     }
@@ -412,7 +413,8 @@
 fn loss_s(now: Instant, job: &Job, state: SlotState, since: Instant) -> f64 {
     match state {
         SlotState::Running if job.spec().checkpoint_s > 0.0 => job.spec().save_s,
-        SlotState::Running => now.saturating_duration_since(since).as_secs_f64(),
+        // A fetch may have to be done again elsewhere.
+        SlotState::Running | SlotState::Fetching => now.saturating_duration_since(since).as_secs_f64(),
         _ => 0.0,
     }
 }
--- a/src/coordination/tests.rs
+++ b/src/coordination/tests.rs
@@ -87,8 +87,8 @@
 impl Rig {
     /// A leader that has just read these records.
     fn new(jobs: Vec<LoadedJob>, hires: Vec<(HireRecord, u64)>) -> Self {
-        let config =
-            Arc::new(Config { settings: settings::tests::sample(), tuning: policy::tests::tuning() });
+        let tuning = policy::Tuning { preempt_loss_s: 8.0, ..policy::tests::tuning() };
+        let config = Arc::new(Config { settings: settings::tests::sample(), tuning });
         let now = Instant::now();
         let loaded = Loaded { jobs, hires, catalog: Some((catalog(), 2)), experience: None };
         let mut leader = Leader::new(config.clone(), EPOCH, now, MS, loaded);
