--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -24,6 +24,8 @@
 
 /// The cloud bills at least this much of a machine.
 const LEAST_BILLED: Duration = Duration::from_secs(60);
+/// After the cloud has failed, what must be repeated waits this long.
+const CLOUD_PAUSE: Duration = Duration::from_secs(2);
 /// Deleted machines remembered, against late reports of theirs.
 const GONE: usize = 1024;
 
@@ -485,7 +487,7 @@
             .hires
             .values()
             .filter(|h| h.record.machines.is_none() && !h.writing && !h.asking)
-            .filter(|h| h.version > 0 && now >= h.asked_at + Duration::from_secs(2))
+            .filter(|h| h.version > 0 && now >= h.asked_at + CLOUD_PAUSE)
             .map(|h| h.record.request.name.clone())
             .collect();
         for name in unresolved {
@@ -816,7 +818,7 @@
             let boot = Duration::from_secs_f64(self.catalog.get(m.kind).map_or(30.0, |k| k.boot_s).max(1.0));
             let idle = m.slots.is_empty() && m.known;
             let reason = match m.phase {
-                Phase::Deleting => (!m.delete_asked).then_some("asked again"),
+                Phase::Deleting => None,
                 Phase::Booting => {
                     let limit = boot.mul_f64(tuning.boot_limit_ratio).max(LEAST_BILLED);
                     if now > m.rented + limit { Some("never started") } else { None }
@@ -824,12 +826,26 @@
                 Phase::Up if trust_silence && now > heard(m) + silence => Some("silent"),
                 Phase::Up if idle && (m.condemned || m.taken_at.is_some()) => Some("sick or taken"),
                 Phase::Up => {
-                    let long = now > m.idle_since + boot.mul_f64(tuning.idle_ratio);
+                    // What is cheap may stand idle for longer.
+                    let cheap = self.catalog.get(m.kind).map_or(1.0, |k| {
+                        if m.spot && k.spot_price > 0.0 {
+                            (k.price / k.spot_price).clamp(1.0, 10.0)
+                        } else {
+                            1.0
+                        }
+                    });
+                    let long = now > m.idle_since + boot.mul_f64(tuning.idle_ratio * cheap);
                     let billed = now > m.rented + LEAST_BILLED;
                     (idle && long && billed && !cloud_down && !wanted.contains(&m.id)).then_some("idle")
                 }
             };
-            if let Some(reason) = reason {
+            if m.phase == Phase::Deleting {
+                // Perhaps not carried out: asked again, but not all the time.
+                let pause = self.cloud_failed_at.is_some_and(|at| now < at + CLOUD_PAUSE);
+                if !m.delete_asked && !pause {
+                    back.push(m.id.clone());
+                }
+            } else if let Some(reason) = reason {
                 let lost = reason == "silent" || m.taken_at.is_some();
                 self.spot_losses += f64::from(u8::from(m.spot && lost && m.phase == Phase::Up));
                 tracing::info!(machine = %m.id, reason, "returning");
