--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -826,15 +826,7 @@
                 Phase::Up if trust_silence && now > heard(m) + silence => Some("silent"),
                 Phase::Up if idle && (m.condemned || m.taken_at.is_some()) => Some("sick or taken"),
                 Phase::Up => {
-                    // What is cheap may stand idle for longer.
-                    let cheap = self.catalog.get(m.kind).map_or(1.0, |k| {
-                        if m.spot && k.spot_price > 0.0 {
-                            (k.price / k.spot_price).clamp(1.0, 10.0)
-                        } else {
-                            1.0
-                        }
-                    });
-                    let long = now > m.idle_since + boot.mul_f64(tuning.idle_ratio * cheap);
+                    let long = now > m.idle_since + boot.mul_f64(tuning.idle_ratio);
                     let billed = now > m.rented + LEAST_BILLED;
                     (idle && long && billed && !cloud_down && !wanted.contains(&m.id)).then_some("idle")
                 }
