--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -674,7 +674,6 @@
             })
             .collect();
         let boot = self.longest_boot().as_secs_f64();
-        let mut reserve = 0.0;
         let mut wanted = HashSet::new();
         let mut orders = Vec::new();
         for (key, demand) in groups {
@@ -734,9 +733,6 @@
                     need -= taken * units;
                 }
             }
-            if !key.spot && !key.gpus {
-                reserve += (usual - demand.active).max(demand.pending);
-            }
             if need > 0.0 {
                 orders.extend(self.choose_option(now, &key, &demand, need));
             } else if key.spot && need + dear > 0.0 {
@@ -745,7 +741,6 @@
                 orders.extend(self.choose_option(now, &key, &demand, need + dear).filter(|o| o.2));
             }
         }
-        self.ordinary_reserve = reserve;
         for (kind, zone, spot, count) in orders {
             self.hire(now, kind, zone, spot, count);
         }
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -175,8 +175,6 @@
     pub(super) demand: HashMap<GroupKey, Demand>,
     /// Measured run time against the owners' estimates, by class.
     pub(super) class_ratio: HashMap<String, f64>,
-    /// CPUs of ordinary machines kept for work that may use no others.
-    pub(super) ordinary_reserve: f64,
     pub(super) spot_losses: f64,
     pub(super) spot_seconds: f64,
     pub(super) backoff: HashMap<(usize, String, bool), Backoff>,
@@ -237,7 +235,6 @@
             experience_writing: false,
             demand: HashMap::new(),
             class_ratio: HashMap::new(),
-            ordinary_reserve: 0.0,
             spot_losses: 0.0,
             spot_seconds: 0.0,
             backoff: HashMap::new(),
--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -181,14 +181,6 @@
         if !self.eligible(j, m) || !self.team_has_room(j) {
             return false;
         }
-        // Work that may use spot machines leaves the others to work that may
-        // not, as far as that is expected to come.
-        if j.spec().spot && !m.spot && self.ordinary_reserve > 0.0 {
-            let free: f64 = self.machines.values().filter(|o| !o.spot && o.open()).map(|o| o.free.cpus).sum();
-            if free - j.spec().cpus < self.ordinary_reserve {
-                return false;
-            }
-        }
         let here = self.score(now, j, m, now);
         let pending = j.pending();
         // A machine that no demand counts on is left to run empty while the
