Give up an epoch whose picture was dropped; let revived jobs wait for all machines

Found by reading: a leader that dropped its picture kept renewing its lease, so nobody would have led; and a job brought back by the reconciler could have started while a machine still held a task of it. Both are tested. A test that the pause between deletions had broken is mended.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -148,7 +148,8 @@
         let name = format!("audit-{:08x}", rand::random::<u32>());
         let (roles_in, mut roles) = mpsc::channel(4);
         let election = Election::new(&name, &name, ttl);
-        tokio::spawn(election::run(election, store.clone(), String::new(), roles_in));
+        let (_abandoned, never) = watch::channel(0);
+        tokio::spawn(election::run(election, store.clone(), String::new(), roles_in, never));
         match tokio::time::timeout(ttl, roles.recv()).await {
             Ok(Some(Role::Leads { epoch, .. })) => Some(epoch),
             Ok(Some(Role::Follows { leader })) => {
@@ -273,7 +274,9 @@
     tracing::info!(name = %settings.name, zone = %settings.zone, %incarnation, "starting");
     let election = Election::new(&settings.name, &incarnation, ttl);
     let (roles_in, roles) = mpsc::channel(16);
-    tokio::spawn(election::run(election, store.clone(), settings.peer_listen.to_string(), roles_in));
+    let (abandoned, given_up) = watch::channel(0);
+    let address = settings.peer_listen.to_string();
+    tokio::spawn(election::run(election, store.clone(), address, roles_in, given_up));
 
     let options = server::ServerOptions {
         limits: Limits { head: HEAD_LIMIT, body: BODY_LIMIT },
@@ -284,7 +287,7 @@
     };
     let peer_listen = settings.peer_listen;
     let config = Arc::new(config);
-    let (node, inputs, front) = Node::new(config, store, cloud, leads, roles);
+    let (node, inputs, front) = Node::new(config, store, cloud, leads, abandoned, roles);
     let peers = front.clone();
     tokio::spawn(async move {
         if let Err(error) = peer::serve(peer_listen, BODY_LIMIT, peers).await {
--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
 use crate::protocol::cbor::{Fields, MapBuilder, decode, encode};
@@ -268,6 +268,17 @@
         }
     }
 
+    /// Gives an epoch up: whoever leads next, perhaps this controller, begins
+    /// from the records. Without this a leader that has dropped its picture
+    /// would keep its lease, and nobody would lead.
+    pub fn abandon(&mut self, epoch: u64) {
+        if let (State::Leading { epoch: current, .. }, Some(lease)) = (&self.state, self.lease)
+            && *current == epoch
+        {
+            self.state = State::Ending { lease: lease.id };
+        }
+    }
+
     fn confirmed(&self) -> bool {
         !matches!(self.state, State::Leading { confirm: true, .. })
     }
@@ -285,9 +296,16 @@
 }
 
 /// Runs the election for as long as somebody listens.
-pub async fn run(mut election: Election, store: Store, address: String, roles: mpsc::Sender<Role>) {
+pub async fn run(
+    mut election: Election,
+    store: Store,
+    address: String,
+    roles: mpsc::Sender<Role>,
+    abandoned: watch::Receiver<u64>,
+) {
     let mut told = Role::Leaderless;
     loop {
+        election.abandon(*abandoned.borrow());
         let step = election.next(Instant::now());
         perform(&mut election, &store, &address, step).await;
         let role = election.role();
@@ -477,6 +495,19 @@
         assert_eq!(beaten.next(later), Step::EndLease { lease: 5 }, "its late copy must not win afterwards");
     }
 
+    #[test]
+    fn a_leader_that_drops_its_picture_gives_the_lease_up() {
+        let now = Instant::now();
+        let mut e = leading(now);
+        e.abandon(39);
+        assert!(matches!(e.role(), Role::Leads { epoch: 40, .. }), "an earlier epoch is no matter");
+        e.abandon(40);
+        assert_eq!(e.role(), Role::Leaderless);
+        assert_eq!(e.next(now), Step::EndLease { lease: 5 });
+        e.on_end_lease(now, 5, true);
+        assert_eq!(e.next(now), Step::Read);
+    }
+
     #[test]
     fn a_restarted_controller_ends_its_dead_predecessors_lease() {
         let now = Instant::now();
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -678,8 +678,13 @@
     /// Takes jobs in that the reconciler brought back among the living.
     pub fn revive(&mut self, now: Instant, now_ms: u64, jobs: Vec<LoadedJob>) {
         for job in jobs {
-            if !self.jobs.contains_key(&job.record.spec.id) {
-                self.insert_loaded(now, now_ms, job);
+            let id = job.record.spec.id.clone();
+            if self.jobs.contains_key(&id) {
+                continue;
+            }
+            self.insert_loaded(now, now_ms, job);
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.not_before = Some(now + self.config.takeover_proof());
             }
         }
     }
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -115,6 +115,9 @@
     /// Failures on different machines since a task last succeeded.
     pub failed_on: BTreeSet<MachineId>,
     pub hold_until: Option<Instant>,
+    /// Brought back by the reconciler: tasks of it may be on machines that
+    /// took them for another job's until now.
+    pub not_before: Option<Instant>,
     /// Its work is part of the measured demand.
     pub counted: bool,
 }
@@ -143,6 +146,7 @@
             running: 0,
             failed_on: BTreeSet::new(),
             hold_until: None,
+            not_before: None,
             counted: false,
             record,
         }
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -173,6 +173,8 @@
     links: HashMap<String, PeerLink>,
     role: Role,
     leads: watch::Sender<bool>,
+    /// The last epoch given up before its lease ended.
+    abandoned: watch::Sender<u64>,
     ready: watch::Sender<bool>,
     leader: Option<Leader>,
     waiting: HashMap<ReplyTo, (Reply, Instant)>,
@@ -224,6 +226,7 @@
         store: Store,
         cloud: Cloud,
         leads: watch::Sender<bool>,
+        abandoned: watch::Sender<u64>,
         roles: mpsc::Receiver<Role>,
     ) -> (Self, Inputs, Front) {
         let (users_in, users) = mpsc::channel(USER_BUFFER);
@@ -245,6 +248,7 @@
             links,
             role: Role::Leaderless,
             leads,
+            abandoned,
             ready,
             leader: None,
             waiting: HashMap::new(),
@@ -360,6 +364,7 @@
                 if let Some(leader) = self.leader.as_mut().filter(|l| l.epoch() == epoch) {
                     leader.committed(now, ticket, result);
                     if leader.is_over() {
+                        let _ = self.abandoned.send(epoch);
                         self.drop_leader();
                     }
                 }
@@ -824,7 +829,8 @@
         let config = Arc::new(Config { settings, tuning: crate::policy::tests::tuning() });
         let (leads, _) = watch::channel(false);
         let (_roles_in, roles) = mpsc::channel(1);
-        Node::new(config, store(world.address(), 12), cloud, leads, roles)
+        let (abandoned, _) = watch::channel(0);
+        Node::new(config, store(world.address(), 12), cloud, leads, abandoned, roles)
     }
 
     /// The edge refuses at once: nobody is held while the buffer is full.
--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -172,6 +172,13 @@
         if j.pending() == 0 || j.hold_until.is_some_and(|until| now < until && !j.active.is_empty()) {
             return false;
         }
+        // Until every machine has reported, or is gone, and has stopped what it
+        // had of a job that was believed over, none of it starts anew.
+        if let Some(not_before) = j.not_before
+            && (now < not_before || self.machines.values().any(|m| m.foreign))
+        {
+            return false;
+        }
         // A task that may still run on a machine not heard of yet must wait.
         // Jobs accepted in this epoch cannot be there.
         if !self.was_whole && !j.fresh {
--- a/src/coordination/tests.rs
+++ b/src/coordination/tests.rs
@@ -415,8 +415,9 @@
     // Unanswered, it proves nothing.
     rig.leader.cloud_done(rig.now, ticket, Err(CloudError::Failed));
     assert_eq!(starts(&rig.beat("vm-2b", seq + 1, EPOCH, vec![])), vec![]);
+    // Asked again after a pause.
     rig.cloud.clear();
-    rig.pass(1.1);
+    rig.pass(2.1);
     let (ticket, _) =
         rig.cloud.iter().find(|(_, c)| matches!(c, CloudCall::Delete(_))).cloned().expect("again");
     rig.leader.cloud_done(rig.now, ticket, Ok(CloudReply::Deleted));
@@ -505,6 +506,20 @@
     assert!(moved.iter().any(|t| t.changes.iter().any(|c| c.key() == over_key(&id("job-1")))));
 }
 
+#[test]
+fn a_revived_job_waits_until_no_machine_can_still_hold_its_tasks() {
+    let mut rig = Rig::with_machines(&["vm-1"]);
+    rig.leader.revive(rig.now, MS, vec![loaded_job(sample("job-1", "red", 1, 1.0))]);
+    assert_eq!(starts(&rig.beat("vm-1", 5, EPOCH, vec![])), vec![]);
+    let mut seq = 5;
+    while rig.now < rig.leader.loaded_at + rig.config.takeover_proof() {
+        seq += 1;
+        assert_eq!(starts(&rig.beat("vm-1", seq, EPOCH, vec![])), vec![]);
+        rig.pass(3.0);
+    }
+    assert_eq!(starts(&rig.beat("vm-1", seq + 1, EPOCH, vec![])).len(), 1);
+}
+
 #[test]
 fn a_retry_after_the_end_is_answered_from_the_record() {
     let mut rig = Rig::with_machines(&["vm-1"]);
