--- a/src/coordination/cloud.rs
+++ b/src/coordination/cloud.rs
@@ -12,7 +12,7 @@
     HireRequest, ListPage, MachineType, PAGE, decode_catalog, decode_hired, decode_list, encode_delete,
 };
 use crate::protocol::workers::MachineId;
-use crate::storage::service::Bucket;
+use crate::storage::service::{Bucket, Complaints};
 use crate::transport::client::{Call, ClientError, Connection, Pool};
 use crate::transport::codec::{Limits, Response};
 
@@ -70,13 +70,14 @@
 /// Starts the actor.
 pub fn start(address: SocketAddr, rate: f64, deadline: Duration) -> Cloud {
     let (sender, mut inbox) = mpsc::channel::<Request>(32);
-    let (done, mut finished) = mpsc::channel::<Option<Connection>>(IN_FLIGHT);
+    let (done, mut finished) = mpsc::channel::<(Option<Connection>, Option<Option<u16>>)>(IN_FLIGHT);
     tokio::spawn(async move {
         // Others may have spent before a takeover: half a burst to begin with.
         let mut bucket = Bucket::new(rate * 0.9, (rate * 0.9).max(1.0), Instant::now());
         let mut pool = Pool::new(address, LIMITS, IN_FLIGHT);
         let mut waiting: VecDeque<Request> = VecDeque::new();
         let mut in_flight = 0;
+        let mut complaints = Complaints::default();
         loop {
             let now = Instant::now();
             let mut wait = Duration::from_secs(3600);
@@ -92,8 +93,11 @@
                 let done = done.clone();
                 tokio::spawn(async move {
                     let (result, connection) = prepared.run().await;
-                    let _ = request.reply.send(read_reply(&request.call, result));
-                    let _ = done.send(connection).await;
+                    let status = result.as_ref().map(|r| r.status).ok();
+                    let reply = read_reply(&request.call, result);
+                    let failed = (reply == Err(CloudError::Failed)).then_some(status);
+                    let _ = request.reply.send(reply);
+                    let _ = done.send((connection, failed)).await;
                 });
             }
             tokio::select! {
@@ -106,9 +110,14 @@
                     Some(r) => waiting.push_back(r),
                     None => return,
                 },
-                Some(connection) = finished.recv() => {
+                Some((connection, failed)) = finished.recv() => {
                     in_flight -= 1;
                     pool.put_back(connection);
+                    if let Some(status) = failed
+                        && let Some(times) = complaints.due(Instant::now())
+                    {
+                        tracing::error!(times, ?status, "the cloud did not carry out a request");
+                    }
                 }
                 () = tokio::time::sleep(wait) => {}
             }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -219,7 +219,12 @@
     match error.span() {
         Some(span) => {
             let before = text.get(..span.start).unwrap_or(text);
-            format!("line {}: {message}", before.matches('\n').count() + 1)
+            let number = before.matches('\n').count() + 1;
+            let line = text.lines().nth(number - 1).unwrap_or_default();
+            match line.split_once('=') {
+                Some((field, _)) => format!("line {number}: field `{}`: {message}", field.trim()),
+                None => format!("line {number}: {message}"),
+            }
         }
         None => message,
     }
@@ -318,6 +323,8 @@
         }
         assert!(error(&SAMPLE.replacen("rps = 100.0\n", "", 1)).contains("missing field `rps`"));
         assert!(error("host_name = [").starts_with("s.toml: line 1: "));
+        let wrong = error(&SAMPLE.replacen("rps = 100.0", "rps = \"x\"", 1));
+        assert_eq!(wrong, "s.toml: line 38: field `rps`: invalid type: string \"x\", expected f64");
         assert!(
             Settings::load(Path::new("/no/such/file"))
                 .is_err_and(|e| e.to_string().starts_with("/no/such/file: "))
--- a/src/storage/service.rs
+++ b/src/storage/service.rs
@@ -219,6 +219,27 @@
     }
 }
 
+/// Says that something is wrong at most once in a while.
+#[derive(Debug, Default)]
+pub struct Complaints {
+    at: Option<Instant>,
+    unsaid: u32,
+}
+
+impl Complaints {
+    const EVERY: Duration = Duration::from_secs(5);
+
+    /// How many there have been, if now is the time to say so.
+    pub fn due(&mut self, now: Instant) -> Option<u32> {
+        self.unsaid += 1;
+        if self.at.is_some_and(|at| now < at + Self::EVERY) {
+            return None;
+        }
+        self.at = Some(now);
+        Some(std::mem::take(&mut self.unsaid))
+    }
+}
+
 enum Done {
     Raw { reply: oneshot::Sender<Raw>, result: Raw, connection: Option<Connection>, long: bool },
     Commit { items: Vec<Pending>, result: Raw, connection: Option<Connection> },
@@ -235,6 +256,7 @@
     deadline: Duration,
     /// After a refusal nothing but renewals is sent until then.
     pause_until: Instant,
+    complaints: Complaints,
     done: mpsc::Sender<Done>,
 }
 
@@ -275,6 +297,7 @@
         limits,
         deadline,
         pause_until: now,
+        complaints: Complaints::default(),
         done,
     };
     tokio::spawn(async move {
@@ -475,6 +498,10 @@
             }
             outcome => {
                 let unknown = matches!(outcome, Outcome::Unknown);
+                if let Some(times) = self.complaints.due(Instant::now()) {
+                    let status = result.as_ref().map(|r| r.status).ok();
+                    tracing::error!(times, ?status, unknown, "the state service did not carry out a write");
+                }
                 self.pause_until = Instant::now() + self.deadline / 10;
                 // Pushed to the front one by one, so back to front.
                 for mut item in items.into_iter().rev() {
@@ -619,6 +646,15 @@
         assert_eq!(store.scan("k/").await.expect("served").len(), 1203);
     }
 
+    #[test]
+    fn complaints_are_counted_and_said_once_in_a_while() {
+        let now = Instant::now();
+        let mut complaints = Complaints::default();
+        assert_eq!(complaints.due(now), Some(1));
+        assert_eq!(complaints.due(now + Duration::from_secs(1)), None);
+        assert_eq!(complaints.due(now + Duration::from_secs(6)), Some(2));
+    }
+
     #[test]
     fn renewals_may_spend_what_others_must_leave() {
         let now = Instant::now();
