--- a/src/transport/codec.rs
+++ b/src/transport/codec.rs
@@ -110,14 +110,7 @@
         }
         let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut parsed = httparse::Request::new(&mut headers);
-        let size = match parsed.parse(&self.buffer) {
-            Ok(httparse::Status::Complete(size)) => size,
-            Ok(httparse::Status::Partial) => return self.partial_head(),
-            Err(_) => return Err(CodecError::BadHead),
-        };
-        if size > self.limits.head {
-            return Err(CodecError::HeadTooLarge);
-        }
+        let Some(size) = self.head_size(parsed.parse(&self.buffer))? else { return Ok(None) };
         let head = read_headers(parsed.headers, size, parsed.version)?;
         let method = parsed.method.unwrap_or_default().to_owned();
         let target = parsed.path.unwrap_or_default().to_owned();
@@ -133,14 +126,7 @@
         }
         let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut parsed = httparse::Response::new(&mut headers);
-        let size = match parsed.parse(&self.buffer) {
-            Ok(httparse::Status::Complete(size)) => size,
-            Ok(httparse::Status::Partial) => return self.partial_head(),
-            Err(_) => return Err(CodecError::BadHead),
-        };
-        if size > self.limits.head {
-            return Err(CodecError::HeadTooLarge);
-        }
+        let Some(size) = self.head_size(parsed.parse(&self.buffer))? else { return Ok(None) };
         let head = read_headers(parsed.headers, size, parsed.version)?;
         let status = parsed.code.unwrap_or(0);
         let retry_after_s = header(parsed.headers, "retry-after").and_then(|v| v.parse().ok());
@@ -149,8 +135,14 @@
         Ok(Some(Response { status, body, retry_after_s, close: head.close }))
     }
 
-    fn partial_head<T>(&self) -> Result<Option<T>, CodecError> {
-        if self.buffer.len() > self.limits.head { Err(CodecError::HeadTooLarge) } else { Ok(None) }
+    /// The size of a parsed head; `None` until all of it is here.
+    fn head_size(&self, parsed: httparse::Result<usize>) -> Result<Option<usize>, CodecError> {
+        let (size, whole) = match parsed {
+            Ok(httparse::Status::Complete(size)) => (size, Some(size)),
+            Ok(httparse::Status::Partial) => (self.buffer.len(), None),
+            Err(_) => return Err(CodecError::BadHead),
+        };
+        if size > self.limits.head { Err(CodecError::HeadTooLarge) } else { Ok(whole) }
     }
 
     /// The body and the bytes the whole message takes, once all are here.
