--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -331,8 +331,14 @@
     fn load(&self, epoch: u64) {
         let (store, inner) = (self.store.clone(), self.inner.clone());
         let value_kb = self.config.settings.cluster.state.value_kb;
+        let pause = self.config.tuning.lease / 20;
         tokio::spawn(async move {
             let loaded = load(&store, value_kb).await.ok();
+            if loaded.is_none() {
+                // An outage refuses at once; asking again without a pause
+                // would spend the allowance that renewals need.
+                tokio::time::sleep(pause).await;
+            }
             let _ = inner.send(Inner::Loaded { epoch, loaded }).await;
         });
     }
