Write the leaders' notes, find machine types and count work in one place each

The catalogue and the experience were written by two copies of the same code with state of their own; the look-up of a machine type by name and the counts for log and status stood several times. Removed: an accessor that nothing used and time parameters that nothing read. No behaviour changes.

--- a/src/coordination/agents.rs
+++ b/src/coordination/agents.rs
@@ -309,7 +309,7 @@
     }
 
     /// The job is over: whatever runs of it is of no use.
-    pub(super) fn stop_leftovers(&mut self, _now: Instant, job: &JobId) {
+    pub(super) fn stop_leftovers(&mut self, job: &JobId) {
         let Some(j) = self.jobs.get(job) else { return };
         if j.slots == 0 {
             return;
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -7,6 +7,7 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
+use ciborium::value::Value;
 use tokio::time::Instant;
 
 use super::cloud::{CloudCall, CloudError, CloudReply, CloudResult};
@@ -194,15 +195,26 @@
     }
 
     fn write_catalog(&mut self) {
-        let value = encode_catalog(&self.catalog);
+        self.write_note(CATALOG, encode_catalog(&self.catalog));
+    }
+
+    /// Writes one of the notes that leaders keep for the next, unless its last
+    /// write is still under way or it does not fit.
+    fn write_note(&mut self, key: &'static str, value: Value) {
         let limit = (self.config.settings.cluster.state.value_kb * 1024.0) as usize;
-        if self.catalog_writing || json_size(&value) + 64 > limit {
+        let note = self.notes.entry(key).or_default();
+        if note.writing || json_size(&value) + 64 > limit {
             return;
         }
-        self.catalog_writing = true;
-        let condition = Condition { key: CATALOG.to_owned(), version: self.catalog_version };
-        let change = Change::Put { key: CATALOG.to_owned(), value, lease: None };
-        self.commit(Ticket::CatalogWrite, Class::Rest, vec![condition], vec![change]);
+        note.writing = true;
+        let condition = Condition { key: key.to_owned(), version: note.version };
+        let change = Change::Put { key: key.to_owned(), value, lease: None };
+        self.commit(Ticket::Note(key), Class::Rest, vec![condition], vec![change]);
+    }
+
+    /// A machine type's number; one that no machine has, if it is not known.
+    fn kind_of(&self, name: &str) -> usize {
+        self.catalog.iter().position(|k| k.name == name).unwrap_or(usize::MAX)
     }
 
     /// Enters the machines of a fleet record into the picture.
@@ -211,7 +223,7 @@
         let request = hire.record.request.clone();
         let used = hire.record.used.clone();
         let ids = hire.record.machines.clone().unwrap_or_default();
-        let kind = self.catalog.iter().position(|k| k.name == request.machine_type).unwrap_or(usize::MAX);
+        let kind = self.kind_of(&request.machine_type);
         for id in ids {
             if self.machines.contains_key(&id) || self.gone.contains(&id) {
                 continue;
@@ -333,8 +345,6 @@
         hire.asking = false;
         hire.asked_at = now;
         let request = hire.record.request.clone();
-        let kind = self.catalog.iter().position(|k| k.name == request.machine_type).unwrap_or(usize::MAX);
-        let option = (kind, request.zone.clone(), request.spot);
         let short = match result {
             Ok(CloudReply::Hired(machines)) => {
                 let short = (machines.len() as u32) < request.count;
@@ -348,6 +358,8 @@
             // Unknown: the same request again, which then tells what it got.
             _ => return,
         };
+        let kind = self.kind_of(&request.machine_type);
+        let option = (kind, request.zone.clone(), request.spot);
         self.write_hire(name);
         self.meet_hired(now, name);
         if short {
@@ -584,15 +596,7 @@
             groups: groups.take(32).collect(),
             ratios: self.class_ratio.iter().take(64).map(|(c, r)| (c.clone(), *r)).collect(),
         };
-        let value = experience.encode();
-        let limit = (self.config.settings.cluster.state.value_kb * 1024.0) as usize;
-        if self.experience_writing || json_size(&value) + 64 > limit {
-            return;
-        }
-        self.experience_writing = true;
-        let condition = Condition { key: EXPERIENCE.to_owned(), version: self.experience_version };
-        let change = Change::Put { key: EXPERIENCE.to_owned(), value, lease: None };
-        self.commit(Ticket::ExperienceWrite, Class::Rest, vec![condition], vec![change]);
+        self.write_note(EXPERIENCE, experience.encode());
     }
 
     /// Takes over what an earlier leader had learnt.
@@ -669,7 +673,7 @@
             .filter(|h| h.record.machines.is_none())
             .map(|h| {
                 let r = &h.record.request;
-                let kind = self.catalog.iter().position(|k| k.name == r.machine_type).unwrap_or(usize::MAX);
+                let kind = self.kind_of(&r.machine_type);
                 (kind, r.zone.clone(), r.spot, f64::from(r.count))
             })
             .collect();
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -20,13 +20,13 @@
 use crate::policy::Tuning;
 use crate::protocol::cbor::{MapBuilder, encode};
 use crate::protocol::cloud::MachineType;
-use crate::protocol::jobs::{JobId, JobSpec, Standing, refusal};
+use crate::protocol::jobs::{JobId, JobSpec, refusal};
 use crate::protocol::state::{Change, Condition};
 use crate::protocol::workers::{MachineId, Order};
 use crate::settings::Settings;
 use crate::storage::records::{
-    Experience, HireRecord, JobRecord, block_key, block_size, blocks, hire_key, live_key, over_key,
-    record_key, row,
+    CATALOG, EXPERIENCE, Experience, HireRecord, JobRecord, block_key, block_size, blocks, hire_key,
+    live_key, over_key, record_key, row,
 };
 use crate::storage::service::{Class, StoreError, Transaction};
 
@@ -95,8 +95,14 @@
     Delete(Vec<MachineId>),
     List,
     Catalog,
-    CatalogWrite,
-    ExperienceWrite,
+    Note(&'static str),
+}
+
+/// A key that leaders keep for the next, and the state of its writing.
+#[derive(Debug, Default)]
+pub(super) struct Note {
+    pub version: u64,
+    pub writing: bool,
 }
 
 #[derive(Debug)]
@@ -167,11 +173,8 @@
     pub(super) gone_order: VecDeque<MachineId>,
     pub(super) catalog: Vec<MachineType>,
     pub(super) catalog_at: Option<Instant>,
-    pub(super) catalog_version: u64,
-    pub(super) catalog_writing: bool,
+    pub(super) notes: HashMap<&'static str, Note>,
     pub(super) experience_at: Instant,
-    pub(super) experience_version: u64,
-    pub(super) experience_writing: bool,
     pub(super) demand: HashMap<GroupKey, Demand>,
     /// Measured run time against the owners' estimates, by class.
     pub(super) class_ratio: HashMap<String, f64>,
@@ -228,11 +231,8 @@
             gone_order: VecDeque::new(),
             catalog: Vec::new(),
             catalog_at: None,
-            catalog_version: 0,
-            catalog_writing: false,
+            notes: HashMap::new(),
             experience_at: now,
-            experience_version: 0,
-            experience_writing: false,
             demand: HashMap::new(),
             class_ratio: HashMap::new(),
             spot_losses: 0.0,
@@ -264,11 +264,11 @@
         }
         if let Some((types, version)) = loaded.catalog {
             leader.catalog = types;
-            leader.catalog_version = version;
+            leader.notes.insert(CATALOG, Note { version, writing: false });
             leader.meet_all(now);
         }
         if let Some((experience, version)) = loaded.experience {
-            leader.experience_version = version;
+            leader.notes.insert(EXPERIENCE, Note { version, writing: false });
             leader.take_experience(now, experience);
         }
         leader.request_catalog();
@@ -336,15 +336,12 @@
         }
         match self.tickets.remove(&ticket) {
             Some(Ticket::Create(job)) => self.created(now, job, result),
-            Some(Ticket::Record(job)) => self.recorded(now, job, result),
+            Some(Ticket::Record(job)) => self.recorded(job, result),
             Some(Ticket::Move(job)) => self.moved(job, result),
-            Some(Ticket::CatalogWrite) => {
-                self.catalog_writing = false;
-                self.catalog_version = result.unwrap_or(self.catalog_version);
-            }
-            Some(Ticket::ExperienceWrite) => {
-                self.experience_writing = false;
-                self.experience_version = result.unwrap_or(self.experience_version);
+            Some(Ticket::Note(key)) => {
+                let note = self.notes.entry(key).or_default();
+                note.writing = false;
+                note.version = result.unwrap_or(note.version);
             }
             Some(Ticket::Hire(name)) => self.hire_written(now, name, result),
             _ => {}
@@ -504,7 +501,7 @@
         self.commit(Ticket::Record(job.clone()), class, conditions, changes);
     }
 
-    fn recorded(&mut self, now: Instant, job: JobId, result: Result<u64, StoreError>) {
+    fn recorded(&mut self, job: JobId, result: Result<u64, StoreError>) {
         let Some(j) = self.jobs.get_mut(&job) else { return };
         let Some(written) = j.writing.take() else { return };
         match result {
@@ -537,7 +534,7 @@
                 for to in waiting {
                     self.answer(to, Answer::new(200, &status.encode()));
                 }
-                self.stop_leftovers(now, &job);
+                self.stop_leftovers(&job);
                 self.try_move(&job);
             }
             None => {
@@ -698,11 +695,18 @@
         self.jobs.insert(entry.id().clone(), entry);
     }
 
+    /// Tasks that wait, tasks on machines, and machines that boot.
+    fn counts(&self) -> (u32, usize, usize) {
+        (
+            self.jobs.values().map(Job::pending).sum(),
+            self.jobs.values().map(|j| j.active.len()).sum(),
+            self.machines.values().filter(|m| m.phase == Phase::Booting).count(),
+        )
+    }
+
     /// For operators.
     pub fn figures(&self, figures: MapBuilder) -> MapBuilder {
-        let pending: u32 = self.jobs.values().map(Job::pending).sum();
-        let active: usize = self.jobs.values().map(|j| j.active.len()).sum();
-        let booting = self.machines.values().filter(|m| m.phase == Phase::Booting).count();
+        let (pending, active, booting) = self.counts();
         figures
             .set("epoch", self.epoch)
             .set("jobs", self.jobs.len() as u64)
@@ -716,7 +720,7 @@
 
     /// For the log.
     pub fn summary(&self) -> String {
-        let booting = self.machines.values().filter(|m| m.phase == Phase::Booting).count();
+        let (pending, active, booting) = self.counts();
         let spot = self.machines.values().filter(|m| m.spot).count();
         let idle = self.machines.values().filter(|m| m.phase == Phase::Up && m.slots.is_empty()).count();
         let (mut cpus, mut used) = (0.0, 0.0);
@@ -725,8 +729,6 @@
             cpus += all;
             used += all - m.free.cpus;
         }
-        let pending: u32 = self.jobs.values().map(Job::pending).sum();
-        let active: usize = self.jobs.values().map(|j| j.active.len()).sum();
         format!(
             "epoch {} jobs {} pending {pending} active {active} machines {} spot {spot} booting {booting} idle {idle} cpus {used:.0} of {cpus:.0} whole {}",
             self.epoch,
@@ -735,9 +737,4 @@
             self.was_whole
         )
     }
-
-    /// The standing of a job in the picture.
-    pub fn standing(&self, job: &JobId) -> Option<Standing> {
-        self.jobs.get(job).map(|j| j.status().standing)
-    }
 }
