Doubt deaf machines, take late copies as hints, begin every job in time

Now: only a report under our token is news; misses are counted and a machine that seems deaf is doubted; seen numbers get 421; a job that has not begun in half of begin_within goes first, with one machine kept clear where it fits nowhere. docs/design.md has the argument.

--- a/src/coordination/agents.rs
+++ b/src/coordination/agents.rs
@@ -53,12 +53,37 @@
             return ReportReply::Elsewhere;
         }
         let Some(m) = self.machines.get_mut(&report.machine) else {
-            self.meet_unexpected(now, &report.machine, &report.machine_type, &report.zone, report.spot);
+            // Under an earlier token it may be a late copy, of a machine long
+            // deleted. A live one shows our token with its next report, and
+            // only then it is entered. No machine that no record names was
+            // ever given a start, so the answer keeps nothing alive.
+            if report.token == epoch {
+                self.meet_unexpected(now, &report.machine, &report.machine_type, &report.zone, report.spot);
+            }
             return empty;
         };
         let stamp = (report.session, report.seq);
+        // A copy, or a machine that was back so quickly that its numbers are
+        // behind those of its former life. Either proves nothing. A 200 would
+        // hold the latter here without being counted; so it looks elsewhere,
+        // until its lease has run out and its session has risen, or until it
+        // has been silent for long enough to be replaced.
         if m.seen.is_some_and(|seen| stamp <= seen) || report.session < m.least_session {
-            return empty;
+            return ReportReply::Elsewhere;
+        }
+        if report.token < epoch {
+            return self.take_hint(now, report);
+        }
+        let lease = self.config.settings.cluster.workers.lease();
+        // The first effect of ours that can be seen is the token.
+        if m.seen.is_none() || m.hinted.take().is_some() {
+            m.heed.clear();
+        }
+        let earlier = m.seen.replace(stamp);
+        let renewed = earlier.is_some_and(|(session, _)| session < report.session);
+        if renewed && m.answered.is_some_and(|at| now < at + lease) {
+            // Its lease has run out although it was answered.
+            m.heed.miss(now);
         }
         m.answered = Some(now);
         m.heard = Some(now);
@@ -74,17 +99,10 @@
             }
             m.taken_at = Some(now + Duration::from_secs_f64(seconds.min(1e6)));
         }
-        let earlier = m.seen.replace(stamp);
-        if earlier.is_some_and(|(session, _)| session < report.session) {
+        if renewed {
             // A new session begins without tasks.
             self.clear_slots(now, &report.machine);
         }
-        // Only a report under our own token is younger than anything that an
-        // earlier leader could still order: such orders carry a lower token
-        // and are refused from then on. An older one may be missing tasks.
-        if report.token < epoch {
-            return empty;
-        }
         self.take_tasks(now, report);
         if let Some(m) = self.machines.get_mut(&report.machine)
             && !m.known
@@ -95,13 +113,61 @@
         let mut orders = self.stops_and_reaps(report);
         self.mark_used(&report.machine);
         self.stop_for_notice(now, &report.machine);
-        if orders.len() < MAX_ORDERS {
-            let room = MAX_ORDERS - orders.len();
+        let (doubted, probe) = self.judge_hearing(now, &report.machine);
+        if orders.len() < MAX_ORDERS && (!doubted || probe) {
+            // A doubted machine is tried with a single start now and then.
+            let room = if doubted { 1 } else { MAX_ORDERS - orders.len() };
             self.fill(now, &report.machine, stamp.1, room, &mut orders);
         }
         ReportReply::Orders { token: epoch, orders }
     }
 
+    /// Whether the machine is doubted to hear us, and may be tried all the same.
+    fn judge_hearing(&mut self, now: Instant, machine: &MachineId) -> (bool, bool) {
+        let workers = &self.config.settings.cluster.workers;
+        let (report, pause) = (workers.report(), workers.lease() / 2);
+        let Some(m) = self.machines.get_mut(machine) else { return (true, false) };
+        let doubted = m.heed.doubted(now, report);
+        if doubted && !m.doubted {
+            tracing::info!(%machine, "reports arrive, but nothing shows that it hears the answers");
+        }
+        m.doubted = doubted;
+        (doubted, m.heed.may_probe(now, pause))
+    }
+
+    /// A report under an earlier token: of a worker that has not had our first
+    /// answer yet, or a late copy. Only a report under our own token is younger
+    /// than anything that an earlier leader could still order, since such
+    /// orders carry a lower one and are refused from then on. So nothing is
+    /// taken from it; it is answered, so that a live worker learns the token.
+    fn take_hint(&mut self, now: Instant, report: &Report) -> ReportReply {
+        let Some(m) = self.machines.get_mut(&report.machine) else { return ReportReply::Elsewhere };
+        let stamp = (report.session, report.seq);
+        // Tokens do not sink within a session: a copy from before.
+        let behind = m.seen.is_some_and(|(session, _)| report.session <= session);
+        // Each copy may put off the proof that its machine is gone only once.
+        if behind || m.hinted.is_some_and(|hinted| stamp <= hinted) {
+            return ReportReply::Elsewhere;
+        }
+        let before = m.hinted.replace(stamp);
+        if before.is_some() {
+            // The former answer should have shown.
+            m.heed.miss(now);
+        }
+        // A deaf machine is answered no more, so that its lease proof runs.
+        // Once that is over nothing is on it, and an answer puts off nothing.
+        let may_hold = !m.known || !m.slots.is_empty();
+        let (doubted, _) = self.judge_hearing(now, &report.machine);
+        let Some(m) = self.machines.get_mut(&report.machine) else { return ReportReply::Elsewhere };
+        if doubted && may_hold {
+            return ReportReply::Elsewhere;
+        }
+        m.answered = Some(now);
+        // Its first start is near: the mark it needs takes a write.
+        self.mark_used(&report.machine);
+        ReportReply::Orders { token: self.epoch, orders: Vec::new() }
+    }
+
     /// An answer without orders while the lease has lapsed, for a bounded time.
     ///
     /// An outage of the state service lapses every lease of ours, and would
@@ -148,6 +214,13 @@
             })
             .map(|(key, _)| key.clone())
             .collect();
+        let vanished = missing
+            .iter()
+            .any(|key| m.slots.get(key).is_some_and(|slot| matches!(slot.state, SlotState::Sent { .. })));
+        if vanished {
+            // A start went into an answer that it did not get.
+            m.heed.miss(now);
+        }
         for key in missing {
             self.remove_slot(now, machine, &key);
         }
@@ -170,6 +243,9 @@
         let Some(m) = self.machines.get_mut(machine) else { return true };
         if let Some(slot) = m.slots.get_mut(key) {
             if slot.attempt == task.attempt {
+                if matches!(slot.state, SlotState::Sent { .. }) {
+                    m.heed.clear();
+                }
                 if slot.state != state {
                     let was = slot.state == SlotState::Running;
                     slot.state = state;
@@ -209,6 +285,7 @@
     ) {
         let slot = self.machines.get(machine).and_then(|m| m.slots.get(key)).filter(|s| s.attempt == attempt);
         let held = slot.is_some();
+        let heeded = slot.is_some_and(|s| matches!(s.state, SlotState::Sent { .. }));
         if let Some(slot) = slot.filter(|s| cause == ExitCause::Done && s.state == SlotState::Running) {
             let seconds = now.saturating_duration_since(slot.since).as_secs_f64();
             self.learn_run(&key.0, seconds);
@@ -228,6 +305,9 @@
             ExitCause::Error | ExitCause::Unknown if held => self.note_failure(now, machine, &key.0),
             _ => {}
         }
+        if heeded && let Some(m) = self.machines.get_mut(machine) {
+            m.heed.clear();
+        }
         if held {
             tracing::debug!(%machine, job = %key.0, task = key.1, ?cause, "exited");
             self.remove_slot(now, machine, key);
@@ -379,7 +459,7 @@
             self.clear_slots(now, &machine);
             if let Some(m) = self.machines.get_mut(&machine) {
                 // A report that was held back may still list them.
-                m.least_session = m.seen.map_or(0, |(session, _)| session + 1);
+                m.least_session = m.seen.max(m.hinted).map_or(0, |(session, _)| session + 1);
                 m.known = true;
                 m.free = self.catalog.get(m.kind).map(Resources::of_type).unwrap_or_default();
             }
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -135,6 +135,11 @@
     seen: HashSet<MachineId>,
 }
 
+/// Whether so many of all are the exception, and to be believed.
+fn few(count: usize, all: usize) -> bool {
+    count * 2 <= all.max(1) || count <= 2
+}
+
 impl Leader {
     pub(super) fn request_catalog(&mut self) {
         self.call_cloud(Ticket::Catalog, CloudCall::Catalog);
@@ -240,6 +245,9 @@
                 rented: now,
                 up_at: None,
                 seen: None,
+                hinted: None,
+                heed: Default::default(),
+                doubted: false,
                 least_session: 0,
                 heard: None,
                 answered: None,
@@ -411,6 +419,9 @@
     fn take_list(&mut self, now: Instant, page: ListPage) {
         let Some(mut round) = self.listing.take() else { return };
         let mut failed = Vec::new();
+        // A list as old as the takeover may still show what an earlier leader
+        // has deleted.
+        let young = round.started >= self.loaded_at + self.list_lag() * 2;
         for listed in &page.machines {
             round.seen.insert(listed.machine.clone());
             match self.machines.get_mut(&listed.machine) {
@@ -424,6 +435,7 @@
                         failed.push(m.id.clone());
                     }
                 }
+                None if !young => {}
                 None => {
                     self.meet_unexpected(
                         now,
@@ -479,10 +491,14 @@
         }
     }
 
+    /// How old the machine list usually is.
+    fn list_lag(&self) -> Duration {
+        Duration::from_secs_f64(self.config.settings.cluster.cloud.list_lag_s.max(1.0))
+    }
+
     /// Once a second.
     pub(super) fn fleet_tick(&mut self, now: Instant) {
-        let cluster = &self.config.settings.cluster;
-        let lag = Duration::from_secs_f64(cluster.cloud.list_lag_s.max(1.0));
+        let lag = self.list_lag();
         let catalog_age = if self.catalog.is_empty() { Duration::from_secs(1) } else { lag * 10 };
         let asked = self.tickets.values().any(|t| matches!(t, Ticket::Catalog));
         if !asked && self.catalog_at.is_none_or(|at| now > at + catalog_age) {
@@ -649,10 +665,15 @@
             self.demand.iter().map(|(k, d)| (k.clone(), d.clone())).collect();
         // Those with the fewest choices first.
         groups.sort_by_key(|(k, _)| (k.types.len(), k.zone.is_none(), k.spot, k.clone()));
+        // What does not hear us does no work, and goes back once it is empty;
+        // unless it is most of them, when the fault is more likely on this side.
+        let doubted = self.machines.values().filter(|m| m.doubted).count();
+        let trust_doubt = few(doubted, self.machines.len());
         let mut left: Vec<(MachineId, usize, String, bool, f64)> = self
             .machines
             .values()
             .filter(|m| m.phase != Phase::Deleting && !m.condemned && m.taken_at.is_none())
+            .filter(|m| !(m.doubted && trust_doubt))
             .map(|m| (m.id.clone(), m.kind, m.zone.clone(), m.spot, 1.0))
             .collect();
         let price = |kind: usize, spot: bool| -> f64 {
@@ -815,7 +836,7 @@
         let up: Vec<&Machine> = self.machines.values().filter(|m| m.phase == Phase::Up).collect();
         let quiet = up.iter().filter(|m| now > heard(m) + silence).count();
         // If most are silent, the fault is more likely on this side.
-        let trust_silence = quiet * 2 <= up.len().max(1) || quiet <= 2;
+        let trust_silence = few(quiet, up.len());
         let cloud_down = self.cloud_failed_at.is_some_and(|at| now < at + Duration::from_secs(10));
         let mut back = Vec::new();
         for m in self.machines.values() {
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -186,6 +186,8 @@
     pub(super) cloud_failed_at: Option<Instant>,
     pub(super) queue: Vec<Ranked>,
     pub(super) queue_at: Option<Instant>,
+    /// Machines kept clear for jobs that must begin.
+    pub(super) reserved: HashMap<JobId, MachineId>,
     pub(super) tickets: HashMap<u64, Ticket>,
     pub(super) next_ticket: u64,
     pub(super) next_attempt: u32,
@@ -243,6 +245,7 @@
             cloud_failed_at: None,
             queue: Vec::new(),
             queue_at: None,
+            reserved: HashMap::new(),
             tickets: HashMap::new(),
             next_ticket: 0,
             next_attempt: 0,
@@ -580,6 +583,7 @@
                 tracing::error!(%job, ?error, "a row differs from what was read; `audit` tells more")
             }
         }
+        self.reserved.remove(&job);
         if let Some(j) = self.jobs.remove(&job) {
             self.actions.push(Action::Over(j.status()));
         }
@@ -714,6 +718,7 @@
             .set("tasksActive", active as u64)
             .set("machines", self.machines.len() as u64)
             .set("machinesBooting", booting as u64)
+            .set("machinesDoubted", self.machines.values().filter(|m| m.doubted).count() as u64)
             .set("accountedFor", self.was_whole)
             .set("submissionsRefused", self.refused)
     }
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -1,6 +1,7 @@
 //! What the leader holds in memory: jobs, machines, teams.
 
 use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::time::Duration;
 
 use tokio::time::Instant;
 
@@ -251,6 +252,43 @@
 
 pub type SlotKey = (JobId, u32);
 
+/// Whether a machine seems to hear us. Its reports may arrive while answers and
+/// commands do not: an answer sent is no proof that it was received, only what
+/// later reports show of it is.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Heed {
+    /// Answers in a row that should have shown an effect and did not.
+    unheeded: u32,
+    first: Option<Instant>,
+    last: Option<Instant>,
+}
+
+impl Heed {
+    /// So many, over at least two reports' time, and the machine is doubted:
+    /// one lost answer, or a burst of late copies, costs nothing.
+    const PATIENCE: u32 = 3;
+
+    pub fn miss(&mut self, now: Instant) {
+        self.unheeded = self.unheeded.saturating_add(1);
+        self.first.get_or_insert(now);
+        self.last = Some(now);
+    }
+
+    /// An effect was seen.
+    pub fn clear(&mut self) {
+        *self = Heed::default();
+    }
+
+    pub fn doubted(&self, now: Instant, report: Duration) -> bool {
+        self.unheeded >= Self::PATIENCE && self.first.is_some_and(|at| now >= at + report * 2)
+    }
+
+    /// Whether it is time to try a single start on a doubted machine.
+    pub fn may_probe(&self, now: Instant, pause: Duration) -> bool {
+        self.last.is_none_or(|at| now >= at + pause)
+    }
+}
+
 #[derive(Debug)]
 pub struct Machine {
     pub id: MachineId,
@@ -263,8 +301,13 @@
     pub address: String,
     pub rented: Instant,
     pub up_at: Option<Instant>,
-    /// Newest report taken: (session, sequence).
+    /// Newest report taken, under this epoch's token: (session, sequence).
     pub seen: Option<(u64, u64)>,
+    /// Newest report under an earlier token, of which nothing was taken.
+    pub hinted: Option<(u64, u64)>,
+    pub heed: Heed,
+    /// It seems not to hear us: its room counts for nothing.
+    pub doubted: bool,
     /// Reports of earlier sessions are void.
     pub least_session: u64,
     pub heard: Option<Instant>,
@@ -314,6 +357,11 @@
         }
     }
 
+    /// Whether its room may be counted on.
+    pub fn has_open_room(&self) -> bool {
+        self.open() && !self.doubted
+    }
+
     /// Whether tasks may be placed on it.
     pub fn open(&self) -> bool {
         self.phase == Phase::Up
--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -22,6 +22,8 @@
 #[derive(Debug, Clone)]
 pub(super) struct Ranked {
     job: JobId,
+    /// Must begin before anything else does.
+    starved: bool,
     guaranteed: bool,
     priority: Priority,
     due: Instant,
@@ -30,8 +32,9 @@
 impl Ranked {
     fn order(&self, other: &Self) -> Ordering {
         other
-            .guaranteed
-            .cmp(&self.guaranteed)
+            .starved
+            .cmp(&self.starved)
+            .then(other.guaranteed.cmp(&self.guaranteed))
             .then(other.priority.cmp(&self.priority))
             .then(self.due.cmp(&other.due))
             .then_with(|| self.job.cmp(&other.job))
@@ -54,6 +57,7 @@
             .filter(|j| j.pending() > 0)
             .map(|j| Ranked {
                 job: j.id().clone(),
+                starved: self.is_starved(j, now),
                 guaranteed: guaranteed.contains_key(j.id()),
                 priority: j.spec().priority,
                 due: self.latest_start(j, now),
@@ -63,6 +67,38 @@
         self.queue = queue;
     }
 
+    /// Whether a job has waited for half the time within which every job must
+    /// begin, and has not begun. However urgent other work is, a first task of
+    /// it goes before: else a stream of more urgent, or smaller, work could
+    /// keep it out for ever.
+    fn is_starved(&self, job: &Job, now: Instant) -> bool {
+        job.active.is_empty()
+            && job.record.done.is_empty()
+            && now >= job.submitted + self.config.tuning.begin_within / 2
+    }
+
+    /// A starved job that fits nowhere gets one machine kept clear for it, or
+    /// smaller tasks would take every bit of room as it comes free. True if it
+    /// is to be this one.
+    fn keep_clear_for(&mut self, job: &JobId, machine: &MachineId) -> bool {
+        let reserved = self.reserved.get(job).filter(|id| self.machines.contains_key(*id));
+        if let Some(reserved) = reserved {
+            return reserved == machine;
+        }
+        let (Some(j), Some(m)) = (self.jobs.get(job), self.machines.get(machine)) else { return false };
+        let spec = j.spec();
+        let suits = self.team_has_room(j)
+            && (self.was_whole || j.fresh)
+            && m.has_open_room()
+            && (spec.spot || !m.spot)
+            && spec.zone.as_ref().is_none_or(|zone| *zone == m.zone)
+            && self.fitting_types(spec).contains(&m.kind);
+        if suits {
+            self.reserved.insert(job.clone(), machine.clone());
+        }
+        suits
+    }
+
     /// When a job's tasks must start for the next of the users' aims that can
     /// still be met. With all of them missed it goes behind those for whom
     /// haste still helps, by a boot time, and then by age.
@@ -146,7 +182,7 @@
             if started >= most || room.cpus < 1e-3 {
                 break;
             }
-            while started < most && self.may_start(now, &ranked.job, machine) {
+            while started < most && self.may_start(now, ranked, machine) {
                 let Some(job) = self.jobs.get_mut(&ranked.job) else { break };
                 let Some(index) = job.next_pending() else { break };
                 let Some(counter) = self.next_attempt.checked_add(1) else {
@@ -161,14 +197,24 @@
                 self.add_slot(now, machine, key, attempt, SlotState::Sent { seq }, true);
                 orders.push(Order::Start { task: TaskId { job: ranked.job.clone(), index }, attempt });
                 started += 1;
+                self.reserved.remove(&ranked.job);
+                if ranked.starved {
+                    // It has begun; the rest of it waits like any other's.
+                    self.queue_at = None;
+                    break;
+                }
+            }
+            let begun = self.jobs.get(&ranked.job).is_none_or(|j| !j.active.is_empty());
+            if ranked.starved && !begun && self.keep_clear_for(&ranked.job, machine) {
+                break;
             }
         }
         self.queue = queue;
     }
 
     /// Whether the job's next task may and should start on this machine.
-    fn may_start(&mut self, now: Instant, job: &JobId, machine: &MachineId) -> bool {
-        let Some(j) = self.jobs.get(job) else { return false };
+    fn may_start(&mut self, now: Instant, ranked: &Ranked, machine: &MachineId) -> bool {
+        let Some(j) = self.jobs.get(&ranked.job) else { return false };
         if j.pending() == 0 || j.hold_until.is_some_and(|until| now < until && !j.active.is_empty()) {
             return false;
         }
@@ -188,6 +234,9 @@
         if !self.eligible(j, m) || !self.team_has_room(j) {
             return false;
         }
+        if ranked.starved {
+            return j.active.is_empty();
+        }
         let here = self.score(now, j, m, now);
         let pending = j.pending();
         // A machine that no demand counts on is left to run empty while the
@@ -202,7 +251,7 @@
         let others: Vec<&Machine> = self
             .machines
             .values()
-            .filter(|o| o.id != *machine && o.open() && need.fits(&o.free))
+            .filter(|o| o.id != *machine && o.has_open_room() && need.fits(&o.free))
             // One that has missed its time to report may be dead.
             .filter(|o| o.heard.is_some_and(|h| now < h + report.mul_f64(1.5)))
             .inspect(|_| population += 1)
@@ -228,7 +277,7 @@
         let need = Resources::of(job.spec());
         self.machines
             .values()
-            .filter(|m| m.wanted && self.eligible(job, m))
+            .filter(|m| m.wanted && !m.doubted && self.eligible(job, m))
             .map(|m| need.times_in(&m.free))
             .fold(0, u32::saturating_add)
     }
@@ -333,7 +382,7 @@
             let free: u32 = self
                 .machines
                 .values()
-                .filter(|m| self.eligible(job, m))
+                .filter(|m| !m.doubted && self.eligible(job, m))
                 .map(|m| need.times_in(&m.free))
                 .fold(0, u32::saturating_add);
             let coming =
@@ -400,7 +449,11 @@
                     });
                 let lower = victim.spec().priority < ranked.priority;
                 let may = lower || (ranked.guaranteed && borrowed);
-                if !may || slot.stop.is_some() || victim.is_service() || slot.room.cpus < need.cpus {
+                // The only one that a job has begun with is left alone.
+                let first = victim.active.len() == 1
+                    && victim.record.done.is_empty()
+                    && now >= victim.submitted + self.config.tuning.begin_within / 2;
+                if !may || first || slot.stop.is_some() || victim.is_service() || slot.room.cpus < need.cpus {
                     continue;
                 }
                 found.push((
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -53,6 +53,8 @@
     pub boot_limit_ratio: f64,
     /// A machine silent for this long is replaced.
     pub silence: Duration,
+    /// Every job begins within this time if capacity exists at all.
+    pub begin_within: Duration,
     /// How long done tasks are gathered before they are recorded.
     pub batch: Duration,
     /// How often rows are compared with records.
@@ -160,6 +162,13 @@
         most: |c| c.workers.lease_s * 2.0,
         set: |t, v| t.silence = seconds(v),
     },
+    Setting {
+        name: "begin_within",
+        kind: Type::Time,
+        least: |c| c.workers.report_s * 4.0,
+        most: |_| 86_400.0,
+        set: |t, v| t.begin_within = seconds(v),
+    },
     Setting {
         name: "batch",
         kind: Type::Time,
