Measure demand by proven run times and over jobs that are not over yet

The debug log shows demand of 1310 CPUs for a group with 112 in use and nothing waiting: work entered the measure with the owner's estimate at its submission, often twice too long, and stayed in it for that long, even when its job was over. Excluded: slow returns (the machines were wanted) and the memory of demand (35 s; the surplus lasted 150 s).

Change: demand is summed every second over the jobs that are not over, each counted until its class would, as known by now, have run.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -45,12 +45,14 @@
 /// Demand of one group over time, in CPUs (or GPUs, for jobs that need them).
 ///
 /// What is measured is the work as if every task had started when it was
-/// submitted and run for as long as expected. A backlog, as while the first
-/// machines boot, would otherwise be taken for demand that stays.
+/// submitted and run for as long as its class is now known to run. A backlog, as
+/// while the first machines boot, would otherwise be taken for demand that
+/// stays; and so would, for as long as they said, the owners' estimates that
+/// turned out too high. What is over is no demand, whatever was expected of it.
 #[derive(Debug, Clone)]
 pub(super) struct Demand {
-    /// Work that would be running now: until when, how much.
-    ideal: Vec<(Instant, f64)>,
+    /// Work that would be running now.
+    pub(super) ideal: f64,
     mean: f64,
     /// Mean size of a job, and of its square: large jobs come in one piece.
     size: f64,
@@ -70,7 +72,7 @@
 impl Demand {
     fn new(now: Instant) -> Self {
         Demand {
-            ideal: Vec::new(),
+            ideal: 0.0,
             mean: 0.0,
             size: 0.0,
             size_square: 0.0,
@@ -85,8 +87,7 @@
         }
     }
 
-    fn arrive(&mut self, until: Instant, units: f64) {
-        self.ideal.push((until, units));
+    fn arrive(&mut self, units: f64) {
         self.jobs += 1.0;
         // A plain mean at first, later over about the last hundred jobs.
         let weight = 1.0 / self.jobs.min(100.0);
@@ -95,18 +96,16 @@
     }
 
     fn sample(&mut self, now: Instant, memory: Duration) {
-        self.ideal.retain(|(until, _)| *until > now);
-        if self.active + self.pending > 0.0 || !self.ideal.is_empty() {
+        if self.active + self.pending + self.ideal > 0.0 {
             self.quiet_since = None;
         } else {
             self.quiet_since.get_or_insert(now);
         }
-        let value: f64 = self.ideal.iter().map(|(_, units)| units).sum();
         let passed = now.saturating_duration_since(self.at).as_secs_f64().max(0.1);
         let age = now.saturating_duration_since(self.born).as_secs_f64() + passed;
         // Young, it is a plain mean; later, the past fades.
         let weight = (passed / age.min(memory.as_secs_f64())).clamp(0.0, 1.0);
-        self.mean += (value - self.mean) * weight;
+        self.mean += (self.ideal - self.mean) * weight;
         self.at = now;
     }
 
@@ -537,7 +536,7 @@
 
     fn measure_demand(&mut self, now: Instant) {
         for demand in self.demand.values_mut() {
-            (demand.active, demand.pending, demand.waiting_work) = (0.0, 0.0, 0.0);
+            (demand.ideal, demand.active, demand.pending, demand.waiting_work) = (0.0, 0.0, 0.0, 0.0);
         }
         let start_delay = self.config.settings.cluster.workers.report().mul_f64(0.5);
         let ids: Vec<JobId> = self.jobs.values().filter(|j| j.is_live()).map(|j| j.id().clone()).collect();
@@ -557,21 +556,18 @@
             let active = unit * job.active.len() as f64;
             let pending = unit * f64::from(job.pending());
             // What a team asks beyond its limit cannot run at once.
-            let arriving = (!job.counted).then(|| (unit * f64::from(job.unfinished())).min(limit));
-            let (service, submitted) = (job.is_service(), job.submitted);
+            let offered = job.offered.unwrap_or_else(|| (unit * f64::from(job.unfinished())).min(limit));
+            let arriving = job.offered.is_none();
+            let ideal_end = job.submitted + Duration::from_secs_f64(run) + start_delay;
+            let runs_ideally = job.is_service() || now < ideal_end;
             let demand = self.demand.entry(key).or_insert_with(|| Demand::new(now));
             demand.active += active;
             demand.pending += pending.min(limit);
             demand.waiting_work += pending * run;
-            if let Some(units) = arriving {
-                let until = if service {
-                    Duration::from_secs(1 << 30)
-                } else {
-                    Duration::from_secs_f64(run) + start_delay
-                };
-                // After a takeover also of jobs that came long ago.
-                demand.arrive(submitted + until, units);
-                let weight = (units / (units + demand.size * 4.0)).clamp(0.0, 1.0);
+            demand.ideal += if runs_ideally { offered } else { 0.0 };
+            if arriving {
+                demand.arrive(offered);
+                let weight = (offered / (offered + demand.size * 4.0)).clamp(0.0, 1.0);
                 let blend = |old: f64, new: f64| if old > 0.0 { old + (new - old) * weight } else { new };
                 demand.shape = Resources {
                     cpus: blend(demand.shape.cpus, shape.cpus),
@@ -579,7 +575,7 @@
                     memory_gb: blend(demand.shape.memory_gb, shape.memory_gb),
                 };
                 if let Some(job) = self.jobs.get_mut(&id) {
-                    job.counted = true;
+                    job.offered = Some(offered);
                 }
             }
         }
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -119,8 +119,9 @@
     /// Brought back by the reconciler: tasks of it may be on machines that
     /// took them for another job's until now.
     pub not_before: Option<Instant>,
-    /// Its work is part of the measured demand.
-    pub counted: bool,
+    /// The room that all its tasks asked for at once, when it entered the
+    /// measured demand.
+    pub offered: Option<f64>,
 }
 
 impl Job {
@@ -148,7 +149,7 @@
             failed_on: BTreeSet::new(),
             hold_until: None,
             not_before: None,
-            counted: false,
+            offered: None,
             record,
         }
     }
--- a/src/coordination/tests.rs
+++ b/src/coordination/tests.rs
@@ -939,3 +939,19 @@
     }
     assert!(begun.is_some_and(|after| after < bound), "{begun:?}");
 }
+
+#[test]
+fn work_that_is_over_is_no_demand_whatever_was_expected_of_it() {
+    let mut rig = Rig::with_machines(&["vm-1"]);
+    let mut job = sample("job-1", "red", 2, 4.0);
+    job.estimate_s = 600.0;
+    rig.accept(job);
+    let started = starts(&rig.beat("vm-1", 5, EPOCH, vec![]));
+    rig.pass(1.1);
+    let ideal = |rig: &Rig| rig.leader.demand.values().map(|d| d.ideal).sum::<f64>();
+    assert!((ideal(&rig) - 8.0).abs() < 1e-9);
+    rig.beat("vm-1", 6, EPOCH, started.iter().map(|s| listed(s, DONE)).collect());
+    rig.commit_all();
+    rig.pass(1.1);
+    assert_eq!(ideal(&rig), 0.0, "long before the owner's estimate is over");
+}
