Start tasks that never began beside machines not heard after a takeover

Cause: after a takeover no task of an older job started until every used machine was heard or proven gone; with the cloud's interface down that is the whole proof of 32 to 42 s, although most of a backlog was never started anywhere. Excluded: too slow adoption (all live machines are heard within 6 s).

Change: a job's record bounds the tasks that may have begun, written before the first start beyond it (docs/design.md, Takeover). Tests seen to fail: starting without the record, starting tied jobs, forgetting the bound at the takeover, not marking at acceptance.

--- a/src/coordination/intake.rs
+++ b/src/coordination/intake.rs
@@ -39,7 +39,12 @@
             return self.answer(to, Answer::later(429, "too many submissions at once", 2));
         }
         let job = spec.id.clone();
-        let record = JobRecord::new(spec, now_ms);
+        let mut record = JobRecord::new(spec, now_ms);
+        // With room for some of it, its first start should not wait for a
+        // second write.
+        if self.has_room_for(&record.spec) {
+            record.begun = record.spec.tasks;
+        }
         let conditions = vec![
             Condition { key: record_key(&job), version: 0 },
             Condition { key: live_key(&job), version: 0 },
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -366,6 +366,7 @@
         self.prove_silent_machines(now);
         if now >= self.slow_tick_at {
             self.slow_tick_at = now + Duration::from_secs(1);
+            self.begin_next(now);
             self.fleet_tick(now);
             self.preempt(now);
         }
@@ -472,6 +473,17 @@
         }
     }
 
+    /// Has the record say that all the job's tasks may have begun, or of a very
+    /// large one the next few thousand, before the first of them starts.
+    pub(super) fn begin(&mut self, job: &JobId) {
+        const AT_ONCE: u32 = 4096;
+        let Some(j) = self.jobs.get_mut(job) else { return };
+        if j.is_live() && j.record.begun == j.begun && j.begun < j.spec().tasks {
+            j.record.begun = j.spec().tasks.min(j.begun.saturating_add(AT_ONCE));
+            self.write_record(job);
+        }
+    }
+
     /// Writes a job's record, one write at a time: what changes meanwhile is
     /// written when this one has ended.
     pub(super) fn write_record(&mut self, job: &JobId) {
@@ -496,11 +508,13 @@
         let class = match (record.cancelled, record.settled) {
             (true, _) => Class::Cancel,
             (_, true) => Class::Settle,
+            // Its tasks wait for nothing but this.
+            _ if record.begun > j.begun => Class::Settle,
             _ => Class::Progress,
         };
-        let (cancelled, settled) = (record.cancelled, record.settled);
+        let (cancelled, settled, begun) = (record.cancelled, record.settled, record.begun);
         j.dirty_since = None;
-        j.writing = Some(Written { cancelled, settled, done: record.done, blocks });
+        j.writing = Some(Written { cancelled, settled, done: record.done, begun, blocks });
         self.commit(Ticket::Record(job.clone()), class, conditions, changes);
     }
 
@@ -516,6 +530,7 @@
                     }
                 }
                 j.recorded = written.done;
+                j.begun = written.begun;
                 j.record.cancelled = written.cancelled;
                 j.record.settled = written.settled;
             }
@@ -542,8 +557,9 @@
             }
             None => {
                 j.withdrawals = waiting;
-                // A cancellation or the last task came while this was written.
-                if j.cancel_wanted || j.record.complete() {
+                // A cancellation, the last task or a first start came while
+                // this was written.
+                if j.cancel_wanted || j.record.complete() || j.record.begun > j.begun {
                     self.write_record(&job);
                 }
             }
@@ -560,7 +576,7 @@
             return;
         }
         // While some machine has not been heard, a task may still be there.
-        if !j.fresh && !self.was_whole {
+        if j.unproven > 0 && !self.was_whole {
             return;
         }
         j.leaving = true;
@@ -614,7 +630,6 @@
     pub(super) fn insert_job(&mut self, now: Instant, record: JobRecord, version: u64) {
         let count = blocks(record.spec.tasks, self.config.settings.cluster.state.value_kb);
         let mut job = Job::new(record, version, version, now, count);
-        job.fresh = true;
         job.team = self.team_index.get(&job.spec().team).copied();
         self.jobs.insert(job.id().clone(), job);
         self.queue_at = None;
@@ -695,6 +710,7 @@
         let submitted = now.checked_sub(age).unwrap_or(now);
         let mut entry = Job::new(job.record, job.version, job.live_version, submitted, 0);
         entry.block_versions = job.block_versions;
+        entry.unproven = entry.begun;
         entry.team = self.team_index.get(&entry.spec().team).copied();
         self.jobs.insert(entry.id().clone(), entry);
     }
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -81,6 +81,7 @@
     pub cancelled: bool,
     pub settled: bool,
     pub done: DoneSet,
+    pub begun: u32,
     pub blocks: Vec<u32>,
 }
 
@@ -91,6 +92,11 @@
     pub record: JobRecord,
     /// Done tasks as committed.
     pub recorded: DoneSet,
+    /// The bound on started tasks as committed.
+    pub begun: u32,
+    /// Tasks below may be on a machine that this epoch has not heard yet; 0 for
+    /// a job accepted in this epoch.
+    pub unproven: u32,
     pub version: u64,
     pub block_versions: Vec<u64>,
     pub live_version: u64,
@@ -102,14 +108,14 @@
     pub withdrawals: Vec<ReplyTo>,
     pub cancel_wanted: bool,
     pub team: Option<usize>,
-    /// Accepted in this epoch: no task of it can be on an unheard machine.
-    pub fresh: bool,
     pub submitted: Instant,
     pub active: HashMap<u32, MachineId>,
     /// Tasks that came back from a machine and wait again.
     pub returned: BTreeSet<u32>,
     /// Tasks from here on have not been looked at yet.
-    pub next: u32,
+    next: u32,
+    /// The same among those that need not wait for unheard machines.
+    next_proven: u32,
     /// Slots on any machine, also such that should not be there.
     pub slots: u32,
     pub running: u32,
@@ -129,6 +135,8 @@
         let recorded = record.done.clone();
         Job {
             recorded,
+            begun: record.begun,
+            unproven: 0,
             version,
             block_versions: vec![0; blocks as usize],
             live_version,
@@ -139,11 +147,11 @@
             withdrawals: Vec::new(),
             cancel_wanted: false,
             team: None,
-            fresh: false,
             submitted,
             active: HashMap::new(),
             returned: BTreeSet::new(),
             next: 0,
+            next_proven: 0,
             slots: 0,
             running: 0,
             failed_on: BTreeSet::new(),
@@ -194,21 +202,20 @@
         !self.record.done.contains(task) && !self.active.contains_key(&task)
     }
 
-    /// The next task that may be started.
-    pub fn next_pending(&mut self) -> Option<u32> {
-        while let Some(&task) = self.returned.first() {
+    /// The next task from `least` on that may be started.
+    pub fn next_pending(&mut self, least: u32) -> Option<u32> {
+        while let Some(&task) = self.returned.range(least..).next() {
             if self.is_free(task) {
                 return Some(task);
             }
-            self.returned.pop_first();
+            self.returned.remove(&task);
         }
-        while self.next < self.spec().tasks {
-            if self.is_free(self.next) {
-                return Some(self.next);
-            }
-            self.next += 1;
+        let mut at = if least == 0 { self.next } else { self.next_proven.max(least) };
+        while at < self.spec().tasks && !self.is_free(at) {
+            at += 1;
         }
-        None
+        *(if least == 0 { &mut self.next } else { &mut self.next_proven }) = at;
+        (at < self.spec().tasks).then_some(at)
     }
 
     pub fn is_service(&self) -> bool {
--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -88,7 +88,7 @@
         let (Some(j), Some(m)) = (self.jobs.get(job), self.machines.get(machine)) else { return false };
         let spec = j.spec();
         let suits = self.team_has_room(j)
-            && (self.was_whole || j.fresh)
+            && (self.was_whole || j.unproven == 0)
             && m.has_open_room()
             && (spec.spot || !m.spot)
             && spec.zone.as_ref().is_none_or(|zone| *zone == m.zone)
@@ -183,8 +183,10 @@
                 break;
             }
             while started < most && self.may_start(now, ranked, machine) {
+                let whole = self.was_whole;
                 let Some(job) = self.jobs.get_mut(&ranked.job) else { break };
-                let Some(index) = job.next_pending() else { break };
+                let least = if whole { 0 } else { job.unproven };
+                let Some(index) = job.next_pending(least) else { break };
                 let Some(counter) = self.next_attempt.checked_add(1) else {
                     tracing::error!("attempt numbers of this epoch are used up");
                     break;
@@ -214,7 +216,8 @@
 
     /// Whether the job's next task may and should start on this machine.
     fn may_start(&mut self, now: Instant, ranked: &Ranked, machine: &MachineId) -> bool {
-        let Some(j) = self.jobs.get(&ranked.job) else { return false };
+        let whole = self.was_whole;
+        let Some(j) = self.jobs.get_mut(&ranked.job) else { return false };
         if j.pending() == 0 || j.hold_until.is_some_and(|until| now < until && !j.active.is_empty()) {
             return false;
         }
@@ -226,10 +229,19 @@
             return false;
         }
         // A task that may still run on a machine not heard of yet must wait.
-        // Jobs accepted in this epoch cannot be there.
-        if !self.was_whole && !j.fresh {
+        // Those that never began, and jobs accepted in this epoch, cannot be
+        // there; where the others are may decide in which zone they may start.
+        let tied = j.spec().one_zone || j.spec().spread;
+        if !whole && j.unproven > 0 && tied {
+            return false;
+        }
+        let least = if whole { 0 } else { j.unproven };
+        let Some(next) = j.next_pending(least) else { return false };
+        if next >= j.begun {
+            self.begin(&ranked.job);
             return false;
         }
+        let Some(j) = self.jobs.get(&ranked.job) else { return false };
         let Some(m) = self.machines.get(machine) else { return false };
         if !self.eligible(j, m) || !self.team_has_room(j) {
             return false;
@@ -282,6 +294,43 @@
             .fold(0, u32::saturating_add)
     }
 
+    /// Whether a task of a new job could start now.
+    pub(super) fn has_room_for(&self, spec: &JobSpec) -> bool {
+        let need = Resources::of(spec);
+        let types = self.fitting_types(spec);
+        self.machines.values().any(|m| {
+            m.has_open_room()
+                && need.fits(&m.free)
+                && (spec.spot || !m.spot)
+                && types.contains(&m.kind)
+                && spec.zone.as_ref().is_none_or(|zone| *zone == m.zone)
+        })
+    }
+
+    /// Has the records of the jobs whose turn comes next say that they begin,
+    /// so that no start waits for the write. Those behind them stay free for a
+    /// next leader to start at once.
+    pub(super) fn begin_next(&mut self, now: Instant) {
+        self.rank(now);
+        // Room that is there, and what comes free until the next round.
+        let kinds = |m: &Machine| self.catalog.get(m.kind).map_or(0.0, |k| k.cpus);
+        let open = self.machines.values().filter(|m| m.has_open_room());
+        let mut room: f64 = open.map(|m| m.free.cpus + 0.1 * kinds(m)).sum();
+        let mut due = Vec::new();
+        for job in self.queue.iter().filter_map(|ranked| self.jobs.get(&ranked.job)) {
+            if room <= 0.0 {
+                break;
+            }
+            room -= job.spec().cpus * f64::from(job.pending());
+            if job.begun < job.spec().tasks {
+                due.push(job.id().clone());
+            }
+        }
+        for job in due {
+            self.begin(&job);
+        }
+    }
+
     /// What the rules demand of a machine for the job's next task.
     fn eligible(&self, job: &Job, machine: &Machine) -> bool {
         let spec = job.spec();
--- a/src/coordination/tests.rs
+++ b/src/coordination/tests.rs
@@ -80,8 +80,11 @@
     )
 }
 
+/// A job of which every task may have begun.
 fn loaded_job(spec: JobSpec) -> LoadedJob {
-    LoadedJob { record: JobRecord::new(spec, MS), version: 5, live_version: 5, block_versions: Vec::new() }
+    let begun = spec.tasks;
+    let record = JobRecord { begun, ..JobRecord::new(spec, MS) };
+    LoadedJob { record, version: 5, live_version: 5, block_versions: Vec::new() }
 }
 
 impl Rig {
@@ -625,6 +628,8 @@
     assert_eq!(rig.beat("vm-9", 2, EPOCH, vec![]), vec![]);
     assert_eq!(rig.beat("vm-9", 3, EPOCH, vec![]), vec![], "not recorded yet");
     rig.commit_all();
+    rig.pass(1.1);
+    rig.commit_all();
     assert_eq!(starts(&rig.beat("vm-9", 4, EPOCH, vec![])).len(), 1);
 }
 
@@ -644,6 +649,8 @@
     rig.accept(sample("job-1", "red", 1, 1.0));
     rig.beat("vm-1", 1, EPOCH, vec![]);
     rig.commit_all();
+    rig.pass(1.1);
+    rig.commit_all();
     assert_eq!(starts(&rig.beat("vm-1", 2, EPOCH, vec![])).len(), 1);
 }
 
@@ -955,3 +962,62 @@
     rig.pass(1.1);
     assert_eq!(ideal(&rig), 0.0, "long before the owner's estimate is over");
 }
+
+#[test]
+fn a_job_begins_only_once_its_record_says_so() {
+    let mut rig = Rig::with_machines(&["vm-1"]);
+    rig.accept(sample("job-1", "blue", 1, 8.0));
+    let first = starts(&rig.beat("vm-1", 5, EPOCH, vec![])).remove(0);
+    // Accepted with no room for it: free for a next leader to start.
+    rig.accept(sample("job-2", "red", 2, 1.0));
+    assert_eq!(starts(&rig.beat("vm-1", 6, EPOCH, vec![listed(&first, DONE)])), vec![]);
+    let begun = |t: &Transaction| {
+        t.changes.iter().any(|c| match c {
+            Change::Put { key, value, .. } if *key == record_key(&id("job-2")) => {
+                JobRecord::decode(value).expect("a record").begun == 2
+            }
+            _ => false,
+        })
+    };
+    assert!(rig.commit_all().iter().any(begun));
+    assert_eq!(starts(&rig.beat("vm-1", 7, EPOCH, vec![])).len(), 2);
+    // With room it is accepted as begun, and needs no second write.
+    rig.submit(sample("job-3", "red", 1, 1.0));
+    let Change::Put { value, .. } = &rig.commits[0].1.changes[0] else { panic!("a record") };
+    assert_eq!(JobRecord::decode(value).expect("a record").begun, 1);
+}
+
+#[test]
+fn beside_a_silent_machine_only_tasks_that_may_have_begun_wait() {
+    let mut part = loaded_job(sample("job-1", "red", 6, 1.0));
+    part.record.begun = 2;
+    let mut tied = loaded_job(sample("job-2", "blue", 2, 1.0));
+    tied.record.spec.one_zone = true;
+    tied.record.begun = 1;
+    let mut rig = Rig::new(vec![part, tied], vec![hired("vm-1", true), hired("vm-2b", true)]);
+    rig.beat("vm-1", 5, EPOCH, vec![]);
+    assert_eq!(starts(&rig.beat("vm-1", 6, EPOCH, vec![])), vec![], "not begun by the record");
+    rig.commit_all();
+    let started = starts(&rig.beat("vm-1", 7, EPOCH, vec![]));
+    let tasks: Vec<u32> = started.iter().map(|s| s.0.index).collect();
+    assert_eq!(tasks, [2, 3, 4, 5], "0 and 1 may be on vm-2b; so may job-2's first, which ties the other");
+    assert!(started.iter().all(|s| s.0.job == id("job-1")));
+    // It reports, without them: they were nowhere.
+    assert_eq!(starts(&rig.beat("vm-2b", 1, EPOCH, vec![])).len(), 3);
+}
+
+#[test]
+fn demand_counts_no_longer_than_the_class_is_known_to_run() {
+    let mut rig = Rig::with_machines(&["vm-1"]);
+    let mut job = sample("job-1", "red", 1, 4.0);
+    job.estimate_s = 20.0;
+    rig.accept(job);
+    let start = starts(&rig.beat("vm-1", 5, EPOCH, vec![])).remove(0);
+    let ideal = |rig: &Rig| rig.leader.demand.values().map(|d| d.ideal).sum::<f64>();
+    for seq in 6..18 {
+        rig.pass(2.0);
+        rig.beat("vm-1", seq, EPOCH, vec![listed(&start, TaskState::Running)]);
+    }
+    // It runs on, but offered on time it would have been over.
+    assert_eq!(ideal(&rig), 0.0);
+}
--- a/src/storage/records.rs
+++ b/src/storage/records.rs
@@ -78,12 +78,16 @@
     pub cancelled: bool,
     pub settled: bool,
     pub done: DoneSet,
+    /// No task from this number on was ever started. Raised before the first
+    /// start beyond it, so a new leader knows which tasks can be on no machine
+    /// and need not wait for any.
+    pub begun: u32,
 }
 
 impl JobRecord {
     pub fn new(spec: JobSpec, submitted_ms: u64) -> Self {
         let done = DoneSet::new(spec.tasks);
-        JobRecord { spec, submitted_ms, cancelled: false, settled: false, done }
+        JobRecord { spec, submitted_ms, cancelled: false, settled: false, done, begun: 0 }
     }
 
     pub fn encode(&self, value_kb: f64) -> Value {
@@ -93,6 +97,7 @@
             .set("at", self.submitted_ms)
             .set("cancelled", self.cancelled)
             .set("settled", self.settled)
+            .set("begun", self.begun)
             .set_some("done", inline.then(|| self.done.encode(0, self.spec.tasks)))
             .build()
     }
@@ -110,6 +115,8 @@
         let f = Fields::of(value)?;
         let spec = JobSpec::decode(f.get("spec").ok_or(Malformed::Missing("spec"))?)?;
         let mut done = DoneSet::new(spec.tasks);
+        // A record of a version that did not say so: any task may have begun.
+        let begun = f.opt_count("begun")?.and_then(|n| u32::try_from(n).ok()).unwrap_or(spec.tasks);
         if let Some(text) = f.opt_text("done")? {
             done.decode_into(0, text)?;
         }
@@ -119,6 +126,7 @@
             cancelled: f.bool("cancelled")?,
             settled: f.bool("settled")?,
             done,
+            begun,
         })
     }
 
