Let lower priority give way only when an aim is near

Change: what a higher priority stops is stopped only once the job's next aim is within two and a half reports. Test seen to fail with the condition left out.

--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -442,11 +442,17 @@
             }
             let tuning = &self.config.tuning;
             let patient = now >= job.submitted + report.mul_f64(1.5);
+            // Room comes free by itself all the time: what is stopped is lost
+            // only for an aim that would be missed otherwise.
+            let pressing = ranked.due <= now + report.mul_f64(2.5);
             let mut given: HashMap<usize, Resources> = HashMap::new();
             for (machine, key, loss, lower) in self.victims(now, ranked, job) {
                 if missing == 0 {
                     break;
                 }
+                if lower && !pressing {
+                    continue;
+                }
                 if !lower {
                     // Only what its team has beyond its own guarantee.
                     let Some((at, team)) = self.team_of(&key.0) else { continue };
--- a/src/coordination/tests.rs
+++ b/src/coordination/tests.rs
@@ -1021,3 +1021,28 @@
     // It runs on, but offered on time it would have been over.
     assert_eq!(ideal(&rig), 0.0);
 }
+
+#[test]
+fn lower_priority_gives_way_only_when_an_aim_is_near() {
+    let mut rig = Rig::with_machines(&["vm-1"]);
+    rig.accept(sample("job-1", "blue", 1, 8.0));
+    let low = starts(&rig.beat("vm-1", 5, EPOCH, vec![])).remove(0);
+    rig.beat("vm-1", 6, EPOCH, vec![listed(&low, TaskState::Running)]);
+    let mut urgent = sample("job-2", "blue", 1, 4.0);
+    urgent.priority = Priority::Critical;
+    urgent.estimate_s = 10.0;
+    urgent.deadline_s = Some(30.0);
+    rig.accept(urgent);
+    // It must start within 20 s; room may come free by itself until then.
+    let report = rig.config.settings.cluster.workers.report_s;
+    for seq in 7..9 {
+        rig.pass(report);
+        rig.beat("vm-1", seq, EPOCH, vec![listed(&low, TaskState::Running)]);
+    }
+    assert_eq!(rig.direct, vec![]);
+    for seq in 9..14 {
+        rig.pass(report);
+        rig.beat("vm-1", seq, EPOCH, vec![listed(&low, TaskState::Running)]);
+    }
+    assert_eq!(rig.direct, [Order::Stop { task: low.0.clone(), attempt: low.1, grace_s: 0.0 }]);
+}
