Learn from the other controllers who leads, and call round cuts between them

Excluded: a slow election.

Change: a controller that the state service does not tell who leads asks the others; a lapsed leader that hears of a higher epoch ends its grace; calls go round a cut through one other controller; a follower names no leader that it has not heard of for two leases; one that is cut off from all is not ready (docs/design.md). Reading the store and the statistics are modules of their own now. Tests seen to fail: going on with the grace, trying a cut way first, handing on what a peer sent to the supposed leader, naming a stale leader, an earlier epoch preferred, cut off while one peer answers.

What is left of late submissions falls into the gap of a lease at each change of leader and into times when controllers refuse each other.

--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -15,7 +15,7 @@
     Change, Condition, Entry, decode_committed, decode_lease, decode_watch, encode_commit, encode_lease,
 };
 use crate::storage::records::LEADER;
-use crate::storage::service::{Class, Store, StoreError, marked};
+use crate::storage::service::{Class, Store, marked};
 use crate::transport::client::{Call, ClientError};
 
 /// Part of the lease given up against drift, timer steps and late wake-ups.
@@ -99,6 +99,8 @@
     state: State,
     lease: Option<Lease>,
     pause: Option<Instant>,
+    /// When the state service last said who leads.
+    heard: Option<Instant>,
 }
 
 impl Election {
@@ -110,6 +112,7 @@
             state: State::Look,
             lease: None,
             pause: None,
+            heard: None,
         }
     }
 
@@ -159,7 +162,8 @@
     }
 
     pub fn on_read(&mut self, now: Instant, found: Result<Option<Holder>, ()>) {
-        let Ok(found) = found else { return self.pause(now) };
+        let Ok(found) = found else { return self.unheard(now) };
+        self.heard = Some(now);
         if let State::Leading { epoch, confirm, .. } = &mut self.state {
             if found.as_ref().is_some_and(|h| h.version == *epoch && h.incarnation == self.incarnation) {
                 *confirm = false;
@@ -264,7 +268,17 @@
 
     pub fn on_watch(&mut self, now: Instant, outcome: Result<(), ()>) {
         if outcome.is_err() {
-            self.pause(now);
+            self.unheard(now);
+        }
+    }
+
+    /// The state service did not answer. Whoever was said to lead when it last
+    /// did may be long gone: after two leases nobody is named any more.
+    fn unheard(&mut self, now: Instant) {
+        self.pause(now);
+        let stale = self.heard.is_none_or(|at| now >= at + self.ttl * 2);
+        if stale && matches!(self.state, State::Following { .. }) {
+            self.state = State::Look;
         }
     }
 
@@ -410,7 +424,6 @@
             let found = match store.get(Class::Renewal, LEADER).await {
                 Ok(Some(entry)) => holder(&entry).map(Some).ok_or(()),
                 Ok(None) => Ok(None),
-                Err(StoreError::Unavailable) => return,
                 Err(_) => Err(()),
             };
             election.on_read(Instant::now(), found);
@@ -508,6 +521,20 @@
         assert_eq!(e.next(now), Step::Read);
     }
 
+    #[test]
+    fn a_follower_without_the_state_service_names_no_leader_for_long() {
+        let now = Instant::now();
+        let mut e = Election::new("c-0", "mine", TTL);
+        e.on_read(now, Ok(Some(holder_of("c-1", "x", 41, 6))));
+        e.on_watch(now + TTL, Err(()));
+        assert_eq!(e.role(), Role::Follows { leader: "c-1".into() }, "a short outage costs nothing");
+        e.on_read(now + TTL * 2, Err(()));
+        assert_eq!(e.role(), Role::Leaderless);
+        assert!(matches!(e.next(now + TTL * 2), Step::Wait { .. }), "and it is not asked without a pause");
+        e.on_read(now + TTL * 3, Ok(Some(holder_of("c-2", "y", 45, 7))));
+        assert_eq!(e.role(), Role::Follows { leader: "c-2".into() });
+    }
+
     #[test]
     fn a_restarted_controller_ends_its_dead_predecessors_lease() {
         let now = Instant::now();
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -7,10 +7,13 @@
 pub mod fleet;
 pub mod intake;
 pub mod leader;
+mod loading;
 pub mod model;
 pub mod node;
+pub mod peers;
 pub mod reconciler;
 pub mod scheduler;
+mod statistics;
 
 #[cfg(test)]
 mod tests;
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -6,26 +6,22 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use hdrhistogram::Histogram;
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::task::JoinSet;
 use tokio::time::{Instant, MissedTickBehavior};
 
 use super::agents::ReportReply;
 use super::cloud::{Cloud, CloudResult};
 use super::election::Role;
 use super::leader::{Action, Answer, Config, Leader, Loaded, LoadedJob};
+use super::loading::{load, walk};
 use super::model::ReplyTo;
-use super::reconciler::{self, Finding};
-use crate::protocol::cbor::{Malformed, MapBuilder, decode, encode};
-use crate::protocol::cloud::decode_catalog;
+use super::peers::Peers;
+use super::statistics::Statistics;
+use crate::protocol::cbor::{Fields, Malformed, MapBuilder, decode, encode};
 use crate::protocol::jobs::{JobId, JobSpec, JobStatus};
 use crate::protocol::workers::{Report, direct_orders, report_answer, report_elsewhere};
 use crate::protocol::{BODY_LIMIT, HEAD_LIMIT};
-use crate::storage::records::{
-    CATALOG, EXPERIENCE, Experience, HIRES, HireRecord, JobRecord, LIVE, OVER, RECORDS, block_key, blocks,
-    record_key,
-};
+use crate::storage::records::{JobRecord, record_key};
 use crate::storage::service::{Class, Store, StoreError};
 use crate::transport::client::{Call, Prepared};
 use crate::transport::codec::{Limits, Request, Response};
@@ -51,17 +47,20 @@
 
 type Reply = oneshot::Sender<Answer>;
 
+/// Where a call comes from, which bounds how far it goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Origin {
+    /// A user: to the leader by whatever way there is.
+    User,
+    /// A controller that cannot reach the leader: straight to it or not at all.
+    Relay,
+    /// A controller that takes this one for the leader: no further.
+    Peer,
+}
+
 enum UserMessage {
-    /// `forwarded`: from another controller, not to be passed on again.
-    Call {
-        call: PeerCall,
-        reply: Reply,
-        forwarded: bool,
-        arrived: Instant,
-    },
-    Status {
-        reply: Reply,
-    },
+    Call { call: PeerCall, reply: Reply, origin: Origin, arrived: Instant },
+    Status { reply: Reply },
 }
 
 struct ReportMessage {
@@ -71,12 +70,43 @@
 }
 
 enum Inner {
-    Loaded { epoch: u64, loaded: Option<Loaded> },
-    Committed { epoch: u64, ticket: u64, result: Result<u64, StoreError> },
-    CloudDone { epoch: u64, ticket: u64, result: CloudResult },
-    LookedUp { final_status: Option<JobStatus> },
+    Loaded {
+        epoch: u64,
+        loaded: Option<Loaded>,
+    },
+    Committed {
+        epoch: u64,
+        ticket: u64,
+        result: Result<u64, StoreError>,
+    },
+    CloudDone {
+        epoch: u64,
+        ticket: u64,
+        result: CloudResult,
+    },
+    LookedUp {
+        final_status: Option<JobStatus>,
+    },
     DirectDone,
-    Reconciled { epoch: u64, from: String, revived: Vec<LoadedJob> },
+    Reconciled {
+        epoch: u64,
+        from: String,
+        revived: Vec<LoadedJob>,
+    },
+    /// Another controller was asked whether it leads; `None`: no answer.
+    PeerAnswered {
+        peer: String,
+        leads: Option<Option<u64>>,
+    },
+    /// A call to another controller got no answer in time.
+    PeerSilent {
+        peer: String,
+    },
+    /// A poll that no way led to the leader for: the record is left.
+    Unanswered {
+        reply: Reply,
+        job: JobId,
+    },
 }
 
 /// Speaks to the actor; answers HTTP requests and other controllers.
@@ -88,8 +118,8 @@
 }
 
 impl Front {
-    async fn user(&self, call: PeerCall, forwarded: bool) -> Answer {
-        self.ask(|reply| UserMessage::Call { call, reply, forwarded, arrived: Instant::now() }).await
+    async fn user(&self, call: PeerCall, origin: Origin) -> Answer {
+        self.ask(|reply| UserMessage::Call { call, reply, origin, arrived: Instant::now() }).await
     }
 
     async fn ask(&self, message: impl FnOnce(Reply) -> UserMessage) -> Answer {
@@ -121,7 +151,7 @@
         match path {
             "/agent/beat" if post => self.report(&request.body).await,
             "/agent/beat" | "/api/jobs" if !post => Answer::refused(405, "POST only"),
-            "/api/jobs" => self.user(PeerCall::Submit(request.body), false).await,
+            "/api/jobs" => self.user(PeerCall::Submit(request.body), Origin::User).await,
             "/status" if get => self.ask(|reply| UserMessage::Status { reply }).await,
             "/ready" if get => {
                 if *self.ready.borrow() {
@@ -142,8 +172,8 @@
                     return Answer::refused(404, "no such job");
                 }
                 match (withdraw, post, get) {
-                    (true, true, _) => self.user(PeerCall::Withdraw(id.to_owned()), false).await,
-                    (false, _, true) => self.user(PeerCall::Poll(id.to_owned()), false).await,
+                    (true, true, _) => self.user(PeerCall::Withdraw(id.to_owned()), Origin::User).await,
+                    (false, _, true) => self.user(PeerCall::Poll(id.to_owned()), Origin::User).await,
                     _ => Answer::refused(405, "method not allowed here"),
                 }
             }
@@ -159,8 +189,9 @@
 }
 
 impl PeerHandler for Front {
-    async fn handle(&self, call: PeerCall) -> PeerReply {
-        let Answer { status, body, retry_after_s } = self.user(call, true).await;
+    async fn handle(&self, call: PeerCall, relay: bool) -> PeerReply {
+        let origin = if relay { Origin::Relay } else { Origin::Peer };
+        let Answer { status, body, retry_after_s } = self.user(call, origin).await;
         PeerReply { status, body, retry_after_s }
     }
 }
@@ -171,6 +202,7 @@
     store: Store,
     cloud: Cloud,
     links: HashMap<String, PeerLink>,
+    peers: Peers,
     role: Role,
     leads: watch::Sender<bool>,
     /// The last epoch given up before its lease ended.
@@ -241,11 +273,13 @@
             }
         }
         let now = Instant::now();
+        let peers = Peers::new(links.keys().cloned(), config.tuning.lease);
         let node = Node {
             config,
             store,
             cloud,
             links,
+            peers,
             role: Role::Leaderless,
             leads,
             abandoned,
@@ -284,8 +318,8 @@
                 _ = tick.tick() => self.tick(),
                 Some(message) = inputs.reports.recv() => self.take_report(message),
                 Some(message) = inputs.users.recv() => match message {
-                    UserMessage::Call { call, reply, forwarded, arrived } => {
-                        self.take_user(call, reply, forwarded);
+                    UserMessage::Call { call, reply, origin, arrived } => {
+                        self.take_user(call, reply, origin);
                         self.statistics.user(arrived);
                     }
                     UserMessage::Status { reply } => drop(reply.send(Answer::new(200, &self.status()))),
@@ -387,6 +421,9 @@
                 }
             }
             Inner::DirectDone => self.directs -= 1,
+            Inner::PeerAnswered { peer, leads } => self.peer_answered(now, &peer, leads),
+            Inner::PeerSilent { peer } => self.peers.silent(now, &peer),
+            Inner::Unanswered { reply, job } => self.look_up(reply, job, Answer::refused(404, "no such job")),
             Inner::Reconciled { epoch, from, revived } => {
                 self.walking = false;
                 self.walk_from = from;
@@ -413,18 +450,22 @@
                 let _ = reply.send(Answer::later(503, "not recorded in time", 1));
             }
         }
-        let known = match &self.role {
-            Role::Leaderless => false,
-            Role::Follows { .. } => true,
-            Role::Leads { .. } => self.leader.as_ref().is_some_and(|l| l.valid(now)),
-        };
+        let leads = self.leader.as_ref().is_some_and(|l| l.valid(now));
+        let follows = matches!(self.role, Role::Follows { .. });
+        if leads || follows {
+            self.peers.rest();
+        } else {
+            self.ask_peers(now);
+        }
+        let known = leads || follows || self.peers.leading(now).is_some();
         if known {
             self.last_led = now;
         }
         // Removal from service lasts longer than most changes of leader, so a
-        // short one is not worth it.
+        // short one is not worth it; being cut off from all others is.
         let lease = self.config.settings.cluster.workers.lease();
-        let ready = known || (*self.ready.borrow() && now < self.last_led + lease * 2);
+        let hopes = *self.ready.borrow() && now < self.last_led + lease * 2 && !self.peers.cut_off(now);
+        let ready = known || hopes;
         self.ready.send_if_modified(|before| std::mem::replace(before, ready) != ready);
         if now > self.logged_at + LOG_INTERVAL {
             self.logged_at = now;
@@ -435,6 +476,43 @@
         self.reconcile(now);
     }
 
+    /// The state service does not say who leads: perhaps the others know.
+    fn ask_peers(&mut self, now: Instant) {
+        let patience = self.config.tuning.lease / 4;
+        for peer in self.peers.to_ask(now) {
+            let Some(link) = self.links.get(&peer).cloned() else { continue };
+            let inner = self.inner.clone();
+            tokio::spawn(async move {
+                let reply = link.call(PeerCall::Lead, false, patience).await;
+                let leads = reply.map(|r| match r.status {
+                    200 => decode(&r.body).and_then(|v| Fields::of(&v)?.count("epoch")).ok(),
+                    _ => None,
+                });
+                let _ = inner.send(Inner::PeerAnswered { peer, leads }).await;
+            });
+        }
+    }
+
+    fn peer_answered(&mut self, now: Instant, peer: &str, leads: Option<Option<u64>>) {
+        self.peers.answered(now, peer, leads);
+        // A higher epoch means that the key was written anew: ours is over, and
+        // keeping workers here for the rest of the grace would only hold them
+        // back from their new leader.
+        let epoch = self.peers.leading(now).map_or(0, |(_, epoch)| epoch);
+        if self.leader.as_ref().is_some_and(|l| l.epoch() < epoch) {
+            self.drop_leader();
+        }
+    }
+
+    /// The leader, if it is another: as the state service says or, without it,
+    /// as the others say.
+    fn other_leader(&self, now: Instant) -> Option<&str> {
+        match &self.role {
+            Role::Follows { leader } => Some(leader),
+            _ => self.peers.leading(now).map(|(name, _)| name),
+        }
+    }
+
     /// Compares one page of finished jobs' rows with their records. A row that
     /// calls live work over would otherwise strand it: a takeover reads only
     /// the rows of the living.
@@ -460,10 +538,7 @@
         };
         let answer = match reply {
             ReportReply::Orders { token, orders } => Answer::new(200, &report_answer(token, &orders)),
-            ReportReply::Elsewhere => match &self.role {
-                Role::Follows { leader } => Answer::new(421, &report_elsewhere(Some(leader))),
-                _ => Answer::new(421, &report_elsewhere(None)),
-            },
+            ReportReply::Elsewhere => Answer::new(421, &report_elsewhere(self.other_leader(now))),
         };
         let _ = message.reply.send(answer);
         self.statistics.report(message.arrived);
@@ -472,7 +547,10 @@
     /// Figures for operators.
     fn status(&self) -> ciborium::value::Value {
         let role = match &self.role {
-            Role::Leaderless => "leaderless".to_owned(),
+            Role::Leaderless => match self.peers.leading(Instant::now()) {
+                Some((leader, _)) => format!("leaderless, {leader} says that it leads"),
+                None => "leaderless".to_owned(),
+            },
             Role::Follows { leader } => format!("follows {leader}"),
             Role::Leads { .. } => "leads".to_owned(),
         };
@@ -484,11 +562,14 @@
         self.statistics.figures(figures).build()
     }
 
-    fn take_user(&mut self, call: PeerCall, reply: Reply, forwarded: bool) {
+    fn take_user(&mut self, call: PeerCall, reply: Reply, origin: Origin) {
         let now = Instant::now();
+        // A leader past its lease answers little; one that leads now, all.
+        let lapsed = self.leader.as_ref().is_some_and(|l| !l.valid(now));
+        let leads = self.leader.is_some() && !(lapsed && self.peers.leading(now).is_some());
         let job = match &call {
             PeerCall::Poll(id) | PeerCall::Withdraw(id) => JobId::parse(id),
-            PeerCall::Submit(_) => None,
+            PeerCall::Submit(_) | PeerCall::Lead => None,
         };
         // What is final stays so, whoever leads.
         if let Some(status) = job.as_ref().and_then(|job| self.finals.get(job)) {
@@ -506,31 +587,39 @@
                 };
                 if let Some(status) = self.finals.get(&spec.id) {
                     let _ = reply.send(Answer::new(200, &status.encode()));
-                } else if self.leader.is_some() {
+                } else if leads {
                     let to = self.keep(reply, now);
                     if let Some(leader) = &mut self.leader {
                         leader.submit(now, wall_ms(), to, spec);
                     }
                 } else {
-                    self.pass_on(call, reply, forwarded, None);
+                    self.pass_on(call, reply, origin, None);
                 }
             }
-            (PeerCall::Poll(_), Some(job)) => match &self.leader {
+            (PeerCall::Lead, _) => {
+                let epoch = self.leader.as_ref().filter(|l| l.valid(now)).map(Leader::epoch);
+                let answer = match epoch {
+                    Some(epoch) => Answer::new(200, &MapBuilder::new().set("epoch", epoch).build()),
+                    None => Answer::refused(421, "does not lead"),
+                };
+                drop(reply.send(answer));
+            }
+            (PeerCall::Poll(_), Some(job)) => match self.leader.as_ref().filter(|_| leads) {
                 Some(leader) => match leader.poll(now, &job) {
                     Some(status) => drop(reply.send(Answer::new(200, &status.encode()))),
                     None => self.look_up(reply, job, Answer::refused(404, "no such job")),
                 },
-                None => self.pass_on(call, reply, forwarded, Some(job)),
+                None => self.pass_on(call, reply, origin, Some(job)),
             },
             (PeerCall::Withdraw(_), Some(job)) => {
-                if self.leader.is_some() {
+                if leads {
                     let to = self.keep(reply, now);
                     let known = self.leader.as_mut().is_some_and(|l| l.withdraw(now, to, &job));
                     if !known && let Some((reply, _)) = self.waiting.remove(&to) {
                         self.look_up_final(reply, job);
                     }
                 } else {
-                    self.pass_on(call, reply, forwarded, None);
+                    self.pass_on(call, reply, origin, None);
                 }
             }
             (_, None) => drop(reply.send(Answer::refused(404, "no such job"))),
@@ -544,29 +633,60 @@
         to
     }
 
-    /// Hands a user's request to the leader. A poll that it cannot answer is
-    /// answered from the record.
-    fn pass_on(&mut self, call: PeerCall, reply: Reply, forwarded: bool, poll: Option<JobId>) {
-        let link = match &self.role {
-            Role::Follows { leader } if !forwarded => self.links.get(leader).cloned(),
-            _ => None,
-        };
-        let Some(link) = link else {
+    /// Hands a user's request to the leader, past a cut through another
+    /// controller if need be. A poll that it cannot answer is answered from the
+    /// record.
+    fn pass_on(&mut self, call: PeerCall, reply: Reply, origin: Origin, poll: Option<JobId>) {
+        let ways = self.ways(Instant::now(), origin);
+        if ways.is_empty() {
             match poll {
-                Some(job) if !forwarded => self.look_up(reply, job, Answer::refused(404, "no such job")),
+                Some(job) if origin == Origin::User => {
+                    self.look_up(reply, job, Answer::refused(404, "no such job"));
+                }
                 _ => drop(reply.send(Answer::later(503, "no leader at the moment", 1))),
             }
             return;
-        };
+        }
+        let inner = self.inner.clone();
+        let patience = POLL_PATIENCE / ways.len() as u32;
         tokio::spawn(async move {
-            let answer = match link.call(call).await {
-                Some(PeerReply { status, body, retry_after_s }) => Answer { status, body, retry_after_s },
-                None => Answer::later(503, "the leader did not answer", 1),
-            };
-            let _ = reply.send(answer);
+            for (peer, link, relay) in ways {
+                let answer = link.call(call.clone(), relay, patience).await;
+                if let Some(PeerReply { status, body, retry_after_s }) = answer {
+                    let _ = reply.send(Answer { status, body, retry_after_s });
+                    return;
+                }
+                let _ = inner.send(Inner::PeerSilent { peer }).await;
+            }
+            match poll.filter(|_| origin == Origin::User) {
+                Some(job) => drop(inner.send(Inner::Unanswered { reply, job }).await),
+                None => drop(reply.send(Answer::later(503, "the leader did not answer", 1))),
+            }
         });
     }
 
+    /// The ways to the leader, the best first, at most two. `true`: through a
+    /// controller that is to hand the call on.
+    fn ways(&self, now: Instant, origin: Origin) -> Vec<(String, PeerLink, bool)> {
+        let Some(leader) = self.other_leader(now).filter(|_| origin != Origin::Peer) else {
+            return Vec::new();
+        };
+        let mut names = Vec::new();
+        let reachable = self.peers.reachable(now, leader);
+        let relays = if origin == Origin::User { self.peers.relays(now, leader) } else { Vec::new() };
+        // Unless there is no other way, one that has just failed is not tried.
+        if reachable || relays.is_empty() {
+            names.push((leader.to_owned(), false));
+        }
+        names.extend(relays.into_iter().map(|name| (name, true)));
+        names.truncate(2);
+        let link = |(name, relay): (String, bool)| {
+            let link = self.links.get(&name)?.clone();
+            Some((name, link, relay))
+        };
+        names.into_iter().filter_map(link).collect()
+    }
+
     /// Answers from the record: it alone decides what was ever accepted.
     fn look_up(&mut self, reply: Reply, job: JobId, otherwise: Answer) {
         self.read_record(reply, job, otherwise, false);
@@ -675,149 +795,6 @@
     u64::try_from(passed.as_millis()).unwrap_or(u64::MAX)
 }
 
-/// Rows compared with their records in one round.
-const ROWS_A_ROUND: usize = 8;
-
-/// One round of the reconciler: where to go on, and the jobs that a repair
-/// brought back among the living.
-async fn walk(
-    store: &Store,
-    epoch: u64,
-    from: &str,
-    value_kb: f64,
-) -> Result<(String, Vec<LoadedJob>), StoreError> {
-    let (jobs, next) = reconciler::page_of_jobs(store, OVER, from, ROWS_A_ROUND).await?;
-    let mut revived = Vec::new();
-    for job in &jobs {
-        let examined = reconciler::examine(store, job).await?;
-        if let Finding::Suspect(reason) = examined.finding {
-            tracing::error!(%job, reason, "not repaired; `audit` tells more");
-        }
-        if let Some(repair) = examined.repair(epoch) {
-            tracing::error!(%job, finding = ?examined.finding, "a row differs from its record; repairing it");
-            let live_version = store.commit(repair).await?;
-            if examined.finding == Finding::Stranded {
-                revived.extend(load_job(store, &record_key(job), live_version, value_kb).await?);
-            }
-        }
-    }
-    // At the end it begins anew.
-    Ok((next.unwrap_or_default(), revived))
-}
-
-/// Reads all unfinished work and the fleet.
-async fn load(store: &Store, value_kb: f64) -> Result<Loaded, StoreError> {
-    let mut loaded = Loaded::default();
-    for entry in store.scan(HIRES).await? {
-        match HireRecord::decode(&entry.value) {
-            Ok(record) => loaded.hires.push((record, entry.version)),
-            Err(error) => tracing::error!(key = %entry.key, %error, "unreadable fleet record"),
-        }
-    }
-    if let Some(entry) = store.get(Class::Rest, CATALOG).await?
-        && let Ok(types) = decode_catalog(&entry.value)
-    {
-        loaded.catalog = Some((types, entry.version));
-    }
-    if let Some(entry) = store.get(Class::Rest, EXPERIENCE).await? {
-        // Unreadable, it is written anew; its version is still needed for that.
-        let experience = Experience::decode(&entry.value).unwrap_or_default();
-        loaded.experience = Some((experience, entry.version));
-    }
-    let mut reads = JoinSet::new();
-    for row in store.scan(LIVE).await? {
-        let store = store.clone();
-        reads.spawn(async move {
-            let key = format!("{RECORDS}{}", row.key.strip_prefix(LIVE).unwrap_or_default());
-            load_job(&store, &key, row.version, value_kb).await
-        });
-    }
-    while let Some(read) = reads.join_next().await {
-        if let Some(job) = read.map_err(|_| StoreError::Unavailable)?? {
-            loaded.jobs.push(job);
-        }
-    }
-    Ok(loaded)
-}
-
-/// Reads one unfinished job; `None` if its record cannot be used.
-async fn load_job(
-    store: &Store,
-    key: &str,
-    live_version: u64,
-    value_kb: f64,
-) -> Result<Option<LoadedJob>, StoreError> {
-    let Some(entry) = store.get(Class::Accept, key).await? else {
-        tracing::error!(%key, "a row without a record; left alone");
-        return Ok(None);
-    };
-    let mut record = match JobRecord::decode(&entry.value) {
-        Ok(record) => record,
-        Err(error) => {
-            tracing::error!(%key, %error, "unreadable record; left alone");
-            return Ok(None);
-        }
-    };
-    let mut block_versions = Vec::new();
-    for block in 0..blocks(record.spec.tasks, value_kb) {
-        let found = store.get(Class::Accept, &block_key(&record.spec.id, block)).await?;
-        block_versions.push(found.as_ref().map_or(0, |b| b.version));
-        if let Some(Err(error)) = found.map(|b| record.add_block(&b.value)) {
-            tracing::error!(%key, %error, "unreadable block; its tasks run again");
-        }
-    }
-    Ok(Some(LoadedJob { record, version: entry.version, live_version, block_versions }))
-}
-
-/// Figures for operators: how long answers take, and how many are refused.
-struct Statistics {
-    reports: Histogram<u32>,
-    users: Histogram<u32>,
-}
-
-fn micros(since: Instant) -> u64 {
-    u64::try_from(since.elapsed().as_micros()).unwrap_or(u64::MAX)
-}
-
-fn ms(histogram: &Histogram<u32>, quantile: f64) -> f64 {
-    histogram.value_at_quantile(quantile) as f64 / 1000.0
-}
-
-impl Statistics {
-    fn new() -> Self {
-        // In microseconds; two digits take a few kilobytes, and what is beyond
-        // the bound counts as the bound.
-        let histogram = || Histogram::new_with_max(60_000_000, 2).expect("constant and valid bounds");
-        Statistics { reports: histogram(), users: histogram() }
-    }
-
-    /// How long a message waited for the actor and was worked on.
-    fn report(&mut self, arrived: Instant) {
-        self.reports.saturating_record(micros(arrived));
-    }
-
-    fn user(&mut self, arrived: Instant) {
-        self.users.saturating_record(micros(arrived));
-    }
-
-    fn line(&self) -> String {
-        let part = |h: &Histogram<u32>| format!("{} p99 {:.1} ms", h.len(), ms(h, 0.99));
-        format!("reports {} users {}", part(&self.reports), part(&self.users))
-    }
-
-    fn figures(&self, figures: MapBuilder) -> MapBuilder {
-        let part = |h: &Histogram<u32>| {
-            MapBuilder::new()
-                .set("count", h.len())
-                .set("p50Ms", ms(h, 0.5))
-                .set("p99Ms", ms(h, 0.99))
-                .set("maxMs", h.max() as f64 / 1000.0)
-                .build()
-        };
-        figures.set("reports", part(&self.reports)).set("users", part(&self.users))
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -830,7 +807,9 @@
 
     async fn rig() -> (Node, Inputs, Front) {
         let world = StandIn::start(&[]).await;
-        let settings = crate::settings::tests::sample();
+        let mut settings = crate::settings::tests::sample();
+        let second = settings.peers[0].clone();
+        settings.peers.push(crate::settings::Peer { name: "c-2".into(), ..second });
         let cloud = super::super::cloud::start(world.address(), 1.0, Duration::from_secs(1));
         let config = Arc::new(Config { settings, tuning: crate::policy::tests::tuning() });
         let (leads, _) = watch::channel(false);
@@ -857,7 +836,7 @@
         let spec = crate::protocol::jobs::tests::sample("job-1", "red", 1, 1.0);
         let ask = |node: &mut Node, call| {
             let (reply, answer) = oneshot::channel();
-            node.take_user(call, reply, false);
+            node.take_user(call, reply, Origin::User);
             answer
         };
         let submit = PeerCall::Submit(encode(&spec.encode().build()));
@@ -871,6 +850,47 @@
         assert_eq!(answer.status, 400);
     }
 
+    /// A cut between two controllers: the third hands calls on, once, and a
+    /// controller that was taken for the leader hands nothing on.
+    #[tokio::test]
+    async fn calls_go_round_a_cut_through_one_other_controller() {
+        let (mut node, _inputs, _front) = rig().await;
+        let now = Instant::now();
+        let ways = |node: &Node, origin| -> Vec<(String, bool)> {
+            node.ways(now, origin).into_iter().map(|(name, _, relay)| (name, relay)).collect()
+        };
+        assert_eq!(ways(&node, Origin::User), [], "no leader is known");
+        node.role = Role::Follows { leader: "c-1".into() };
+        let (direct, relayed) = (("c-1".to_owned(), false), ("c-2".to_owned(), true));
+        assert_eq!(ways(&node, Origin::User), [direct.clone(), relayed.clone()]);
+        node.peers.silent(now, "c-1");
+        assert_eq!(ways(&node, Origin::User), [relayed], "without waiting for the cut one again");
+        assert_eq!(ways(&node, Origin::Relay), std::slice::from_ref(&direct));
+        assert_eq!(ways(&node, Origin::Peer), []);
+        node.peers.silent(now, "c-2");
+        assert_eq!(ways(&node, Origin::User), [direct], "what else is there to try");
+    }
+
+    /// A leader cut off from the state service alone: its grace ends, and its
+    /// workers are sent to the new leader, as soon as that one is heard of.
+    #[tokio::test]
+    async fn a_lapsed_leader_ends_its_grace_when_it_hears_of_a_higher_epoch() {
+        let (mut node, _inputs, _front) = rig().await;
+        let now = Instant::now();
+        let loaded = Loaded::default();
+        node.leader = Some(Leader::new(node.config.clone(), 40, now, 0, loaded));
+        node.role = Role::Leads { epoch: 40, until: now };
+        node.tick();
+        assert!(!*node.ready.borrow(), "it never was ready, and leads no more");
+        node.peer_answered(now, "c-1", Some(Some(39)));
+        assert!(node.leader.is_some(), "an earlier epoch is no news");
+        node.peer_answered(now, "c-1", Some(Some(41)));
+        assert!(node.leader.is_none());
+        assert_eq!(node.other_leader(now), Some("c-1"));
+        node.tick();
+        assert!(*node.ready.borrow(), "it can serve users again, through the leader");
+    }
+
     #[tokio::test]
     async fn wrong_paths_and_methods_get_their_status() {
         let (_node, _inputs, front) = rig().await;
--- /dev/null
+++ b/src/coordination/peers.rs
@@ -0,0 +1,167 @@
+//! What this controller hears of the others, beside what the state service
+//! says: which of them leads, and which of them can be reached.
+//!
+//! A controller that has lost the state service cannot learn from it who leads.
+//! The others may know. Nothing is decided by what is heard here: it only says
+//! where requests and reports are handed on to, and the leader answers them
+//! under its own lease.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+#[derive(Debug, Default)]
+struct Peer {
+    asked_at: Option<Instant>,
+    asking: bool,
+    heard_at: Option<Instant>,
+    /// The epoch that it said it leads, and when.
+    leads: Option<(u64, Instant)>,
+    /// A call to it got no answer.
+    failed_at: Option<Instant>,
+}
+
+#[derive(Debug)]
+pub struct Peers {
+    /// Life of the leader's lease.
+    ttl: Duration,
+    peers: BTreeMap<String, Peer>,
+    /// Since when the others are asked, for want of a leader.
+    asking_since: Option<Instant>,
+}
+
+impl Peers {
+    pub fn new(names: impl IntoIterator<Item = String>, ttl: Duration) -> Self {
+        let peers = names.into_iter().map(|name| (name, Peer::default())).collect();
+        Peers { ttl, peers, asking_since: None }
+    }
+
+    /// A leader is known by other means: nobody need be asked.
+    pub fn rest(&mut self) {
+        self.asking_since = None;
+    }
+
+    /// No leader is known: whom to ask now whether they lead.
+    pub fn to_ask(&mut self, now: Instant) -> Vec<String> {
+        self.asking_since.get_or_insert(now);
+        let pause = self.ttl / 8;
+        let due = |p: &Peer| !p.asking && p.asked_at.is_none_or(|at| now >= at + pause);
+        let mut names = Vec::new();
+        for (name, peer) in self.peers.iter_mut().filter(|(_, p)| due(p)) {
+            (peer.asking, peer.asked_at) = (true, Some(now));
+            names.push(name.clone());
+        }
+        names
+    }
+
+    /// A peer's answer, if there was any: the epoch that it leads, if it does.
+    pub fn answered(&mut self, now: Instant, name: &str, answer: Option<Option<u64>>) {
+        let Some(peer) = self.peers.get_mut(name) else { return };
+        peer.asking = false;
+        match answer {
+            Some(epoch) => {
+                peer.heard_at = Some(now);
+                peer.failed_at = None;
+                peer.leads = epoch.map(|epoch| (epoch, now));
+            }
+            None => {
+                peer.failed_at = Some(now);
+                peer.leads = None;
+            }
+        }
+    }
+
+    /// The peer that said lately that it leads; of several the one with the
+    /// highest epoch, as the others' are over.
+    pub fn leading(&self, now: Instant) -> Option<(&str, u64)> {
+        let fresh = |at: Instant| now < at + self.ttl / 2;
+        self.peers
+            .iter()
+            .filter_map(|(name, p)| {
+                p.leads.filter(|(_, at)| fresh(*at)).map(|(epoch, _)| (name.as_str(), epoch))
+            })
+            .max_by_key(|(_, epoch)| *epoch)
+    }
+
+    /// A call to the peer got no answer in time.
+    pub fn silent(&mut self, now: Instant, name: &str) {
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.failed_at = Some(now);
+        }
+    }
+
+    /// Whether a call to the peer is worth its time.
+    pub fn reachable(&self, now: Instant, name: &str) -> bool {
+        self.peers.get(name).is_some_and(|p| p.failed_at.is_none_or(|at| now >= at + self.ttl / 2))
+    }
+
+    /// Peers that may hand a call on to one that cannot be reached from here.
+    pub fn relays(&self, now: Instant, leader: &str) -> Vec<String> {
+        let names = self.peers.keys().filter(|name| *name != leader && self.reachable(now, name));
+        names.cloned().collect()
+    }
+
+    /// No leader is known, and none of the others has answered for a lease:
+    /// whoever asks here is better off elsewhere.
+    pub fn cut_off(&self, now: Instant) -> bool {
+        let long = |at: Instant| now >= at + self.ttl;
+        !self.peers.is_empty()
+            && self.asking_since.is_some_and(long)
+            && self.peers.values().all(|p| p.heard_at.is_none_or(long))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const TTL: Duration = Duration::from_secs(8);
+
+    fn peers() -> Peers {
+        Peers::new(["c-1".to_owned(), "c-2".to_owned()], TTL)
+    }
+
+    #[test]
+    fn without_a_leader_the_others_are_asked_and_the_highest_epoch_counts() {
+        let now = Instant::now();
+        let mut p = peers();
+        assert_eq!(p.to_ask(now), ["c-1", "c-2"]);
+        assert!(p.to_ask(now + TTL).is_empty(), "one question at a time");
+        p.answered(now, "c-1", Some(Some(40)));
+        p.answered(now, "c-2", Some(Some(41)));
+        assert_eq!(p.leading(now), Some(("c-2", 41)));
+        assert_eq!(p.leading(now + TTL), None, "not heard of lately");
+        p.answered(now + TTL, "c-2", Some(None));
+        assert_eq!(p.leading(now + TTL), None);
+    }
+
+    #[test]
+    fn a_controller_that_nobody_answers_is_cut_off() {
+        let now = Instant::now();
+        let mut p = peers();
+        assert!(!p.cut_off(now));
+        p.to_ask(now);
+        p.answered(now, "c-1", None);
+        assert!(!p.cut_off(now + TTL / 2) && p.cut_off(now + TTL));
+        p.to_ask(now + TTL);
+        p.answered(now + TTL, "c-1", Some(None));
+        assert!(!p.cut_off(now + TTL), "somebody is there");
+        p.rest();
+        assert!(!p.cut_off(now + TTL * 9), "a leader is known");
+        let mut alone = Peers::new([], TTL);
+        alone.to_ask(now);
+        assert!(!alone.cut_off(now + TTL * 9));
+    }
+
+    #[test]
+    fn a_peer_that_does_not_answer_is_spared_for_a_while() {
+        let now = Instant::now();
+        let mut p = peers();
+        p.silent(now, "c-1");
+        assert!(!p.reachable(now, "c-1") && p.reachable(now + TTL, "c-1"));
+        assert_eq!(p.relays(now, "c-1"), ["c-2"]);
+        p.silent(now, "c-2");
+        assert!(p.relays(now, "c-1").is_empty());
+    }
+}
--- a/src/transport/peer.rs
+++ b/src/transport/peer.rs
@@ -14,14 +14,16 @@
 
 use wire::peer_client::PeerClient;
 use wire::peer_server::{Peer, PeerServer};
-use wire::{JobRequest, Reply, SubmitRequest};
+use wire::{JobRequest, LeadRequest, Reply, SubmitRequest};
 
-/// What a controller asks of the leading one.
+/// What a controller asks of another.
 #[derive(Debug, Clone)]
 pub enum PeerCall {
     Submit(Vec<u8>),
     Poll(String),
     Withdraw(String),
+    /// Whether it leads.
+    Lead,
 }
 
 /// The leading controller's answer, to be handed on unchanged.
@@ -34,14 +36,15 @@
 
 /// Answers other controllers' calls.
 pub trait PeerHandler: Clone + Send + Sync + 'static {
-    fn handle(&self, call: PeerCall) -> impl Future<Output = PeerReply> + Send;
+    /// `relay`: to be handed on to the leader if that is another.
+    fn handle(&self, call: PeerCall, relay: bool) -> impl Future<Output = PeerReply> + Send;
 }
 
 struct Service<H>(H);
 
 impl<H: PeerHandler> Service<H> {
-    async fn answer(&self, call: PeerCall) -> Result<Response<Reply>, Status> {
-        let reply = self.0.handle(call).await;
+    async fn answer(&self, call: PeerCall, relay: bool) -> Result<Response<Reply>, Status> {
+        let reply = self.0.handle(call, relay).await;
         Ok(Response::new(Reply {
             status: u32::from(reply.status),
             body: reply.body,
@@ -53,15 +56,22 @@
 #[tonic::async_trait]
 impl<H: PeerHandler> Peer for Service<H> {
     async fn submit(&self, request: Request<SubmitRequest>) -> Result<Response<Reply>, Status> {
-        self.answer(PeerCall::Submit(request.into_inner().body)).await
+        let SubmitRequest { body, relay } = request.into_inner();
+        self.answer(PeerCall::Submit(body), relay).await
     }
 
     async fn poll(&self, request: Request<JobRequest>) -> Result<Response<Reply>, Status> {
-        self.answer(PeerCall::Poll(request.into_inner().job)).await
+        let JobRequest { job, relay } = request.into_inner();
+        self.answer(PeerCall::Poll(job), relay).await
     }
 
     async fn withdraw(&self, request: Request<JobRequest>) -> Result<Response<Reply>, Status> {
-        self.answer(PeerCall::Withdraw(request.into_inner().job)).await
+        let JobRequest { job, relay } = request.into_inner();
+        self.answer(PeerCall::Withdraw(job), relay).await
+    }
+
+    async fn lead(&self, _: Request<LeadRequest>) -> Result<Response<Reply>, Status> {
+        self.answer(PeerCall::Lead, false).await
     }
 }
 
@@ -79,7 +89,6 @@
 #[derive(Debug, Clone)]
 pub struct PeerLink {
     client: PeerClient<Channel>,
-    deadline: Duration,
 }
 
 impl PeerLink {
@@ -92,20 +101,21 @@
             .http2_keep_alive_interval(deadline * 2)
             .keep_alive_timeout(deadline)
             .keep_alive_while_idle(false);
-        Ok(PeerLink { client: PeerClient::new(endpoint.connect_lazy()), deadline })
+        Ok(PeerLink { client: PeerClient::new(endpoint.connect_lazy()) })
     }
 
     /// Asks the other controller; `None` if it gave no answer in time.
-    pub async fn call(&self, call: PeerCall) -> Option<PeerReply> {
+    pub async fn call(&self, call: PeerCall, relay: bool, patience: Duration) -> Option<PeerReply> {
         let mut client = self.client.clone();
         let exchange = async {
             match call {
-                PeerCall::Submit(body) => client.submit(SubmitRequest { body }).await,
-                PeerCall::Poll(job) => client.poll(JobRequest { job }).await,
-                PeerCall::Withdraw(job) => client.withdraw(JobRequest { job }).await,
+                PeerCall::Submit(body) => client.submit(SubmitRequest { body, relay }).await,
+                PeerCall::Poll(job) => client.poll(JobRequest { job, relay }).await,
+                PeerCall::Withdraw(job) => client.withdraw(JobRequest { job, relay }).await,
+                PeerCall::Lead => client.lead(LeadRequest {}).await,
             }
         };
-        let reply = tokio::time::timeout(self.deadline, exchange).await.ok()?.ok()?.into_inner();
+        let reply = tokio::time::timeout(patience, exchange).await.ok()?.ok()?.into_inner();
         let status = u16::try_from(reply.status).ok().filter(|s| (200..600).contains(s))?;
         let retry_after_s = Some(reply.retry_after_s).filter(|&s| s > 0);
         Some(PeerReply { status, body: reply.body, retry_after_s })
