Hand on reports of workers that cannot reach the leader

The log shows 30 ordinary and 40 spot machines returned as silent at 218 s, all of the other zone, in the middle of a burst; ordinary CPUs fall from 2464 to 1568 and are back at 290 s. Excluded: crashes of the machines (they report again at 237 s), the cloud's capacity.

Tests seen to fail: not staying a relay while the worker stays, staying one for ever, keeping the memory across leaders, never handing on, handing on what was handed on.

--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -744,14 +744,17 @@
         let (pending, active, booting) = self.counts();
         let spot = self.machines.values().filter(|m| m.spot).count();
         let idle = self.machines.values().filter(|m| m.phase == Phase::Up && m.slots.is_empty()).count();
-        let (mut cpus, mut used) = (0.0, 0.0);
+        // CPUs used and there, on ordinary and on spot machines.
+        let mut cpus = [[0.0; 2]; 2];
         for m in self.machines.values().filter(|m| m.phase == Phase::Up) {
             let all = self.catalog.get(m.kind).map_or(0.0, |k| k.cpus);
-            cpus += all;
-            used += all - m.free.cpus;
+            let [used, there] = &mut cpus[usize::from(m.spot)];
+            *used += all - m.free.cpus;
+            *there += all;
         }
+        let [[used, there], [spot_used, spot_there]] = cpus;
         format!(
-            "epoch {} jobs {} pending {pending} active {active} machines {} spot {spot} booting {booting} idle {idle} cpus {used:.0} of {cpus:.0} whole {}",
+            "epoch {} jobs {} pending {pending} active {active} machines {} spot {spot} booting {booting} idle {idle} cpus {used:.0} of {there:.0} spot cpus {spot_used:.0} of {spot_there:.0} whole {}",
             self.epoch,
             self.jobs.len(),
             self.machines.len(),
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -15,7 +15,7 @@
 use super::leader::{Action, Answer, Config, Leader, Loaded, LoadedJob};
 use super::loading::{load, walk};
 use super::model::ReplyTo;
-use super::peers::Peers;
+use super::peers::{Detour, Detours, Peers};
 use super::statistics::Statistics;
 use crate::protocol::cbor::{Fields, Malformed, MapBuilder, decode, encode};
 use crate::protocol::jobs::{JobId, JobSpec, JobStatus};
@@ -36,6 +36,8 @@
 const LOOKUPS: usize = 32;
 /// Orders being sent straight to workers at once.
 const DIRECTS: usize = 8;
+/// Workers' reports being handed on to the leader at once.
+const RELAYS: usize = 64;
 /// Final standings kept in memory: they never change.
 const FINALS: usize = 2048;
 /// Longest that a user's request is pursued before it is given up. Users wait
@@ -65,6 +67,8 @@
 
 struct ReportMessage {
     report: Report,
+    /// As it came, should it have to be handed on; not for one that was.
+    body: Option<Vec<u8>>,
     reply: oneshot::Sender<Answer>,
     arrived: Instant,
 }
@@ -102,6 +106,10 @@
     PeerSilent {
         peer: String,
     },
+    /// A report was handed on; `silent`: in vain.
+    Relayed {
+        silent: Option<String>,
+    },
     /// A poll that no way led to the leader for: the record is left.
     Unanswered {
         reply: Reply,
@@ -131,13 +139,15 @@
         answer.await.unwrap_or_else(|_| Answer::later(503, "try again", 1))
     }
 
-    async fn report(&self, body: &[u8]) -> Answer {
-        let report = match decode(body).and_then(|value| Report::decode(&value)) {
+    async fn report(&self, body: Vec<u8>, relayed: bool) -> Answer {
+        let report = match decode(&body).and_then(|value| Report::decode(&value)) {
             Ok(report) => report,
             Err(error) => return Answer::refused(400, &error.to_string()),
         };
         let (reply, answer) = oneshot::channel();
-        if self.reports.try_send(ReportMessage { report, reply, arrived: Instant::now() }).is_err() {
+        let body = (!relayed).then_some(body);
+        let message = ReportMessage { report, body, reply, arrived: Instant::now() };
+        if self.reports.try_send(message).is_err() {
             return Answer::later(503, "too many reports at once", 1);
         }
         answer.await.unwrap_or_else(|_| Answer::later(503, "try again", 1))
@@ -149,7 +159,7 @@
         let post = request.method == "POST";
         let get = request.method == "GET";
         match path {
-            "/agent/beat" if post => self.report(&request.body).await,
+            "/agent/beat" if post => self.report(request.body, false).await,
             "/agent/beat" | "/api/jobs" if !post => Answer::refused(405, "POST only"),
             "/api/jobs" => self.user(PeerCall::Submit(request.body), Origin::User).await,
             "/status" if get => self.ask(|reply| UserMessage::Status { reply }).await,
@@ -191,7 +201,11 @@
 impl PeerHandler for Front {
     async fn handle(&self, call: PeerCall, relay: bool) -> PeerReply {
         let origin = if relay { Origin::Relay } else { Origin::Peer };
-        let Answer { status, body, retry_after_s } = self.user(call, origin).await;
+        let answer = match call {
+            PeerCall::Report(body) => self.report(body, true).await,
+            call => self.user(call, origin).await,
+        };
+        let Answer { status, body, retry_after_s } = answer;
         PeerReply { status, body, retry_after_s }
     }
 }
@@ -203,6 +217,9 @@
     cloud: Cloud,
     links: HashMap<String, PeerLink>,
     peers: Peers,
+    detours: Detours,
+    /// Reports being handed on.
+    relaying: usize,
     role: Role,
     leads: watch::Sender<bool>,
     /// The last epoch given up before its lease ended.
@@ -274,12 +291,15 @@
         }
         let now = Instant::now();
         let peers = Peers::new(links.keys().cloned(), config.tuning.lease);
+        let detours = Detours::new(config.settings.cluster.workers.lease());
         let node = Node {
             config,
             store,
             cloud,
             links,
             peers,
+            detours,
+            relaying: 0,
             role: Role::Leaderless,
             leads,
             abandoned,
@@ -349,6 +369,9 @@
                 let _ = self.leads.send(false);
             }
         }
+        if self.role != role {
+            self.detours.clear();
+        }
         self.role = role;
     }
 
@@ -423,6 +446,12 @@
             Inner::DirectDone => self.directs -= 1,
             Inner::PeerAnswered { peer, leads } => self.peer_answered(now, &peer, leads),
             Inner::PeerSilent { peer } => self.peers.silent(now, &peer),
+            Inner::Relayed { silent } => {
+                self.relaying -= 1;
+                if let Some(peer) = silent {
+                    self.peers.silent(now, &peer);
+                }
+            }
             Inner::Unanswered { reply, job } => self.look_up(reply, job, Answer::refused(404, "no such job")),
             Inner::Reconciled { epoch, from, revived } => {
                 self.walking = false;
@@ -538,12 +567,46 @@
         };
         let answer = match reply {
             ReportReply::Orders { token, orders } => Answer::new(200, &report_answer(token, &orders)),
-            ReportReply::Elsewhere => Answer::new(421, &report_elsewhere(self.other_leader(now))),
+            ReportReply::Elsewhere => return self.send_elsewhere(now, message),
         };
         let _ = message.reply.send(answer);
         self.statistics.report(message.arrived);
     }
 
+    /// For the leader: the worker is sent there. If it comes back it cannot
+    /// reach it, as in a cut between two zones, and its report is handed on.
+    /// The leader's answer, under its token and lease, goes back unchanged; an
+    /// answer that takes too long the worker drops, as it would any other.
+    fn send_elsewhere(&mut self, now: Instant, message: ReportMessage) {
+        let ReportMessage { report, body, reply, arrived } = message;
+        let leader = self.other_leader(now).map(str::to_owned);
+        let way = leader.as_ref().filter(|name| self.peers.reachable(now, name));
+        let link = way.and_then(|name| self.links.get(name)).cloned();
+        let elsewhere = |name: Option<&str>| Answer::new(421, &report_elsewhere(name));
+        let (Some(leader), Some(link), Some(body)) = (leader, link, body) else {
+            // Nobody to name, or nobody that could be reached from here.
+            let _ = reply.send(elsewhere(None));
+            return;
+        };
+        let direct = self.detours.judge(now, &report.machine) == Detour::Redirect;
+        if direct || self.relaying >= RELAYS {
+            let _ = reply.send(elsewhere(Some(&leader)));
+            return self.statistics.report(arrived);
+        }
+        self.relaying += 1;
+        let inner = self.inner.clone();
+        tokio::spawn(async move {
+            let relayed = link.call(PeerCall::Report(body), false, POLL_PATIENCE).await;
+            let silent = relayed.is_none().then_some(leader);
+            let answer = match relayed {
+                Some(PeerReply { status, body, .. }) => Answer { status, body, retry_after_s: None },
+                None => elsewhere(None),
+            };
+            let _ = reply.send(answer);
+            let _ = inner.send(Inner::Relayed { silent }).await;
+        });
+    }
+
     /// Figures for operators.
     fn status(&self) -> ciborium::value::Value {
         let role = match &self.role {
@@ -569,7 +632,7 @@
         let leads = self.leader.is_some() && !(lapsed && self.peers.leading(now).is_some());
         let job = match &call {
             PeerCall::Poll(id) | PeerCall::Withdraw(id) => JobId::parse(id),
-            PeerCall::Submit(_) | PeerCall::Lead => None,
+            PeerCall::Submit(_) | PeerCall::Report(_) | PeerCall::Lead => None,
         };
         // What is final stays so, whoever leads.
         if let Some(status) = job.as_ref().and_then(|job| self.finals.get(job)) {
@@ -622,6 +685,8 @@
                     self.pass_on(call, reply, origin, None);
                 }
             }
+            // Reports have a buffer of their own.
+            (PeerCall::Report(_), _) => drop(reply.send(Answer::refused(400, "a report"))),
             (_, None) => drop(reply.send(Answer::refused(404, "no such job"))),
         }
     }
@@ -891,6 +956,78 @@
         assert!(*node.ready.borrow(), "it can serve users again, through the leader");
     }
 
+    /// A zone that cannot reach the leader's: its workers' reports go through a
+    /// controller that can; one that was handed on goes no further.
+    #[tokio::test]
+    async fn reports_of_workers_that_come_back_are_handed_on_once() {
+        let (mut node, _inputs, _front) = rig().await;
+        node.role = Role::Follows { leader: "c-1".into() };
+        let report = Report {
+            machine: crate::protocol::workers::MachineId::parse("vm-1").expect("valid"),
+            address: String::new(),
+            machine_type: "m8".into(),
+            zone: "z1".into(),
+            spot: false,
+            session: 1,
+            seq: 1,
+            token: 1,
+            notice_s: None,
+            tasks: Vec::new(),
+        };
+        let send = |node: &mut Node, body: Option<Vec<u8>>| {
+            let (reply, answer) = oneshot::channel();
+            node.take_report(ReportMessage { report: report.clone(), body, reply, arrived: Instant::now() });
+            answer
+        };
+        let named = |answer: Answer| {
+            let body = decode(&answer.body).expect("CBOR");
+            let name =
+                Fields::of(&body).expect("a map").opt_text("foreman").expect("text").map(str::to_owned);
+            (answer.status, name)
+        };
+        let first = send(&mut node, Some(Vec::new())).await.expect("answered");
+        assert_eq!(named(first), (421, Some("c-1".into())));
+        let handed_on = send(&mut node, None).await.expect("answered at once");
+        assert_eq!(named(handed_on), (421, None));
+        assert_eq!(node.relaying, 0);
+        let _again = send(&mut node, Some(Vec::new()));
+        assert_eq!(node.relaying, 1, "it came back");
+        // What cannot be reached from here is not named either.
+        node.peers.silent(Instant::now(), "c-1");
+        let lost = send(&mut node, Some(Vec::new())).await.expect("answered at once");
+        assert_eq!(named(lost), (421, None));
+        // A new leader: the way to it may be open.
+        node.peers.answered(Instant::now(), "c-1", Some(None));
+        node.take_role(Role::Follows { leader: "c-2".into() });
+        let next = send(&mut node, Some(Vec::new())).await.expect("answered");
+        assert_eq!(named(next), (421, Some("c-2".into())));
+    }
+
+    #[tokio::test]
+    async fn what_was_handed_on_cannot_be_handed_on_again() {
+        let (_node, mut inputs, front) = rig().await;
+        let report = MapBuilder::new()
+            .set("bench", "vm-1")
+            .set("address", "")
+            .set("build", "m8")
+            .set("hall", "z1")
+            .set("shift", 1)
+            .set("tick", 1)
+            .set("baton", 1)
+            .build();
+        for handed_on in [false, true] {
+            let (front, body) = (front.clone(), encode(&report));
+            tokio::spawn(async move {
+                match handed_on {
+                    true => drop(PeerHandler::handle(&front, PeerCall::Report(body), false).await),
+                    false => drop(front.route(request("POST", "/agent/beat", &body)).await),
+                }
+            });
+            let message = inputs.reports.recv().await.expect("a report");
+            assert_eq!(message.body.is_none(), handed_on);
+        }
+    }
+
     #[tokio::test]
     async fn wrong_paths_and_methods_get_their_status() {
         let (_node, _inputs, front) = rig().await;
--- a/src/coordination/peers.rs
+++ b/src/coordination/peers.rs
@@ -6,11 +6,13 @@
 //! where requests and reports are handed on to, and the leader answers them
 //! under its own lease.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use tokio::time::Instant;
 
+use crate::protocol::workers::MachineId;
+
 #[derive(Debug, Default)]
 struct Peer {
     asked_at: Option<Instant>,
@@ -112,6 +114,68 @@
     }
 }
 
+/// What to do with the report of a worker that should turn to the leader.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Detour {
+    /// Name the leader to it.
+    Redirect,
+    /// Hand the report on: the worker does not get through by itself.
+    Relay,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Sent {
+    redirected_at: Instant,
+    relaying_since: Option<Instant>,
+}
+
+/// Workers that were sent to the leader from here, and came back.
+#[derive(Debug)]
+pub struct Detours {
+    /// The workers' lease.
+    lease: Duration,
+    sent: HashMap<MachineId, Sent>,
+}
+
+impl Detours {
+    /// Workers remembered; beyond, the oldest are forgotten and sent once more.
+    const MOST: usize = 4096;
+
+    pub fn new(lease: Duration) -> Self {
+        Detours { lease, sent: HashMap::new() }
+    }
+
+    /// Another leads: the way to it may be open.
+    pub fn clear(&mut self) {
+        self.sent.clear();
+    }
+
+    pub fn judge(&mut self, now: Instant, worker: &MachineId) -> Detour {
+        if self.sent.len() >= Self::MOST {
+            let lease = self.lease;
+            self.sent.retain(|_, s| now < s.redirected_at + lease);
+        }
+        let room = self.sent.len() < Self::MOST;
+        let known = self.sent.get_mut(worker);
+        let redirect = Sent { redirected_at: now, relaying_since: None };
+        match known {
+            // Back so soon, it did not get through. For a lease its reports are
+            // handed on; then it is to try again.
+            Some(s) if now < s.redirected_at + self.lease / 2 || s.relaying_since.is_some() => {
+                let since = *s.relaying_since.get_or_insert(now);
+                if now < since + self.lease {
+                    return Detour::Relay;
+                }
+                *s = redirect;
+            }
+            Some(s) => *s = redirect,
+            None if room => drop(self.sent.insert(worker.clone(), redirect)),
+            None => {}
+        }
+        Detour::Redirect
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -164,4 +228,18 @@
         p.silent(now, "c-2");
         assert!(p.relays(now, "c-1").is_empty());
     }
+
+    #[test]
+    fn a_worker_that_comes_back_is_relayed_for_a_lease_and_then_tries_again() {
+        let now = Instant::now();
+        let worker = MachineId::parse("vm-1").expect("valid");
+        let mut detours = Detours::new(TTL);
+        assert_eq!(detours.judge(now, &worker), Detour::Redirect);
+        assert_eq!(detours.judge(now + TTL / 4, &worker), Detour::Relay);
+        assert_eq!(detours.judge(now + TTL, &worker), Detour::Relay, "it stays with whom answers it");
+        assert_eq!(detours.judge(now + TTL * 5 / 4, &worker), Detour::Redirect);
+        assert_eq!(detours.judge(now + TTL * 3, &worker), Detour::Redirect, "it got through meanwhile");
+        detours.clear();
+        assert_eq!(detours.judge(now + TTL * 3, &worker), Detour::Redirect, "to the new leader");
+    }
 }
--- a/src/transport/peer.rs
+++ b/src/transport/peer.rs
@@ -14,7 +14,7 @@
 
 use wire::peer_client::PeerClient;
 use wire::peer_server::{Peer, PeerServer};
-use wire::{JobRequest, LeadRequest, Reply, SubmitRequest};
+use wire::{JobRequest, LeadRequest, Reply, ReportRequest, SubmitRequest};
 
 /// What a controller asks of another.
 #[derive(Debug, Clone)]
@@ -22,6 +22,8 @@
     Submit(Vec<u8>),
     Poll(String),
     Withdraw(String),
+    /// A worker's report.
+    Report(Vec<u8>),
     /// Whether it leads.
     Lead,
 }
@@ -70,6 +72,10 @@
         self.answer(PeerCall::Withdraw(job), relay).await
     }
 
+    async fn report(&self, request: Request<ReportRequest>) -> Result<Response<Reply>, Status> {
+        self.answer(PeerCall::Report(request.into_inner().body), false).await
+    }
+
     async fn lead(&self, _: Request<LeadRequest>) -> Result<Response<Reply>, Status> {
         self.answer(PeerCall::Lead, false).await
     }
@@ -112,6 +118,7 @@
                 PeerCall::Submit(body) => client.submit(SubmitRequest { body, relay }).await,
                 PeerCall::Poll(job) => client.poll(JobRequest { job, relay }).await,
                 PeerCall::Withdraw(job) => client.withdraw(JobRequest { job, relay }).await,
+                PeerCall::Report(body) => client.report(ReportRequest { body }).await,
                 PeerCall::Lead => client.lead(LeadRequest {}).await,
             }
         };
