--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -737,10 +737,10 @@
             })
         };
         // At one price those with the most on them, so that the others empty.
-        let load = |id: &MachineId| self.machines.get(id).map_or(0, |m| m.slots.len());
-        left.sort_by(|a, b| {
-            let dear = price(a.1, a.3).total_cmp(&price(b.1, b.3));
-            dear.then_with(|| load(&b.0).cmp(&load(&a.0))).then_with(|| a.0.cmp(&b.0))
+        // Prices are not negative: their bits are in the same order.
+        left.sort_by_cached_key(|(id, kind, _, spot, _)| {
+            let load = self.machines.get(id).map_or(0, |m| m.slots.len());
+            (price(*kind, *spot).to_bits(), std::cmp::Reverse(load), id.clone())
         });
         // Machines asked for but not named yet count as if they were there.
         let mut coming: Vec<(usize, String, bool, f64)> = self
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -186,6 +186,8 @@
     pub(super) cloud_failed_at: Option<Instant>,
     pub(super) queue: Vec<Ranked>,
     pub(super) queue_at: Option<Instant>,
+    /// Machines that had room when the queue was last ordered.
+    pub(super) roomy: Vec<MachineId>,
     /// Machines kept clear for jobs that must begin.
     pub(super) reserved: HashMap<JobId, MachineId>,
     pub(super) tickets: HashMap<u64, Ticket>,
@@ -245,6 +247,7 @@
             cloud_failed_at: None,
             queue: Vec::new(),
             queue_at: None,
+            roomy: Vec::new(),
             reserved: HashMap::new(),
             tickets: HashMap::new(),
             next_ticket: 0,
--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -9,7 +9,6 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use rand::seq::IteratorRandom;
 use tokio::time::Instant;
 
 use super::leader::Leader;
@@ -65,6 +64,11 @@
             .collect();
         queue.sort_by(Ranked::order);
         self.queue = queue;
+        // One that has missed its time to report may be dead.
+        let patience = self.config.settings.cluster.workers.report().mul_f64(1.5);
+        let heard = |m: &Machine| m.heard.is_some_and(|h| now < h + patience);
+        let open = self.machines.values().filter(|m| m.free.cpus > 1e-3 && m.has_open_room() && heard(m));
+        self.roomy = open.map(|m| m.id.clone()).collect();
     }
 
     /// Whether a job has waited for half the time within which every job must
@@ -256,21 +260,14 @@
         if !m.wanted && self.room_on_wanted(j) >= pending {
             return false;
         }
-        let sample = self.config.tuning.sample.saturating_sub(1);
         let report = self.config.settings.cluster.workers.report();
         let need = Resources::of(j.spec());
-        let mut population = 0;
-        let others: Vec<&Machine> = self
-            .machines
-            .values()
-            .filter(|o| o.id != *machine && o.has_open_room() && need.fits(&o.free))
-            // One that has missed its time to report may be dead.
-            .filter(|o| o.heard.is_some_and(|h| now < h + report.mul_f64(1.5)))
-            .inspect(|_| population += 1)
-            .choose_multiple(&mut self.rng, sample);
+        let (others, population) = self.sample(machine, &need);
+        let Some(j) = self.jobs.get(&ranked.job) else { return false };
         let sampled = others.len();
         let room: u32 = others
-            .into_iter()
+            .iter()
+            .filter_map(|id| self.machines.get(id))
             .filter(|o| self.eligible(j, o))
             .filter(|o| {
                 let next_report = o.heard.map_or(now, |h| (h + report).max(now));
@@ -280,10 +277,33 @@
             .fold(0, u32::saturating_add);
         // The sample stands for all: are there clearly better places for all
         // that waits?
-        let better = f64::from(room) * population as f64 / sampled.max(1) as f64;
+        let better = f64::from(room) * population / sampled.max(1) as f64;
         better < f64::from(pending)
     }
 
+    /// A few other machines that last reported room for a task, and about how
+    /// many such there are. Drawn from what the last ordering of the queue found,
+    /// so that a placement costs the same on a fleet of any size.
+    fn sample(&mut self, machine: &MachineId, need: &Resources) -> (Vec<MachineId>, f64) {
+        let most = self.config.tuning.sample.saturating_sub(1);
+        let tries = (most * 4).min(self.roomy.len());
+        let mut found = Vec::with_capacity(most);
+        let mut tried: u32 = 0;
+        for at in rand::seq::index::sample(&mut self.rng, self.roomy.len(), tries) {
+            if found.len() >= most {
+                break;
+            }
+            tried += 1;
+            let id = &self.roomy[at];
+            if id != machine && self.machines.get(id).is_some_and(|m| m.has_open_room() && need.fits(&m.free))
+            {
+                found.push(id.clone());
+            }
+        }
+        let share = found.len() as f64 / f64::from(tried.max(1));
+        (found, share * self.roomy.len() as f64)
+    }
+
     /// How many of the job's tasks fit on machines that demand counts on.
     fn room_on_wanted(&self, job: &Job) -> u32 {
         let need = Resources::of(job.spec());
@@ -415,6 +435,14 @@
         {
             return;
         }
+        // Mostly there is nobody who could give way: looking for them among all
+        // tasks is left out then.
+        let over: Vec<bool> = self
+            .teams
+            .iter()
+            .map(|t| !t.used.fits(&Resources { memory_gb: f64::INFINITY, ..t.guaranteed }))
+            .collect();
+        let lowest = self.jobs.values().filter(|j| j.slots > 0).map(|j| j.spec().priority).min();
         self.rank(now);
         // The machines that have room get their chance to report first. A
         // guarantee is less pressing than a priority, and costs equals.
@@ -423,7 +451,10 @@
         let mut stops: Vec<(MachineId, SlotKey, f64)> = Vec::new();
         for ranked in queue.iter().take(16) {
             let Some(job) = self.jobs.get(&ranked.job) else { continue };
-            if now < job.submitted + report.mul_f64(0.5) || !self.team_has_room(job) {
+            let lower = lowest.is_some_and(|lowest| lowest < ranked.priority);
+            let borrowed =
+                ranked.guaranteed && over.iter().enumerate().any(|(at, over)| *over && job.team != Some(at));
+            if !(lower || borrowed) || now < job.submitted + report.mul_f64(0.5) || !self.team_has_room(job) {
                 continue;
             }
             let need = Resources::of(job.spec());
@@ -446,28 +477,27 @@
             // only for an aim that would be missed otherwise.
             let pressing = ranked.due <= now + report.mul_f64(2.5);
             let mut given: HashMap<usize, Resources> = HashMap::new();
-            for (machine, key, loss, lower) in self.victims(now, ranked, job) {
+            for (machine, key, loss, lower) in self.victims(now, ranked, job, &over) {
                 if missing == 0 {
                     break;
                 }
-                if lower && !pressing {
+                let most = if lower { tuning.preempt_lower_loss_s } else { tuning.preempt_loss_s };
+                if loss > most || !(if lower { pressing } else { patient }) {
                     continue;
                 }
                 if !lower {
-                    // Only what its team has beyond its own guarantee.
+                    // Only what its team has beyond its own guarantee, less
+                    // what is stopped of it already.
                     let Some((at, team)) = self.team_of(&key.0) else { continue };
                     let given = given.entry(at).or_insert(team.used);
-                    let within = given.cpus <= team.guaranteed.cpus && given.gpus <= team.guaranteed.gpus;
-                    if !patient || within {
+                    if given.cpus <= team.guaranteed.cpus && given.gpus <= team.guaranteed.gpus {
                         continue;
                     }
                     given.sub(&self.jobs.get(&key.0).map(|j| Resources::of(j.spec())).unwrap_or_default());
                 }
-                if loss <= if lower { tuning.preempt_lower_loss_s } else { tuning.preempt_loss_s } {
-                    let grace = self.jobs.get(&key.0).map_or(0.0, |j| j.spec().save_s);
-                    stops.push((machine, key, grace));
-                    missing -= 1;
-                }
+                let grace = self.jobs.get(&key.0).map_or(0.0, |j| j.spec().save_s);
+                stops.push((machine, key, grace));
+                missing -= 1;
             }
             if !stops.is_empty() {
                 break;
@@ -485,7 +515,13 @@
     }
 
     /// Tasks that may give way to the job, those that lose least first.
-    fn victims(&self, now: Instant, ranked: &Ranked, job: &Job) -> Vec<(MachineId, SlotKey, f64, bool)> {
+    fn victims(
+        &self,
+        now: Instant,
+        ranked: &Ranked,
+        job: &Job,
+        over: &[bool],
+    ) -> Vec<(MachineId, SlotKey, f64, bool)> {
         let need = Resources::of(job.spec());
         let mut found = Vec::new();
         for machine in self.machines.values().filter(|m| m.open() && (!m.spot || job.spec().spot)) {
@@ -498,10 +534,7 @@
             }
             for (key, slot) in &machine.slots {
                 let Some(victim) = self.jobs.get(&key.0) else { continue };
-                let borrowed = slot.team != job.team
-                    && slot.team.and_then(|t| self.teams.get(t)).is_some_and(|t| {
-                        !t.used.fits(&Resources { memory_gb: f64::INFINITY, ..t.guaranteed })
-                    });
+                let borrowed = slot.team != job.team && slot.team.is_some_and(|t| over[t]);
                 let lower = victim.spec().priority < ranked.priority;
                 let may = lower || (ranked.guaranteed && borrowed);
                 // The only one that a job has begun with is left alone.
