Work backlogs off in the time that the jobs' own aims leave

Excluded: the cloud's capacity (spot machines were to be had), slow orders.

Change: a job's waiting work is to be done when its next aim falls due, but not sooner than in two boots nor later than in four. Test seen to fail with a fixed time, and with due times left out.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -64,8 +64,8 @@
     pending: f64,
     /// Since when there has been no work at all.
     quiet_since: Option<Instant>,
-    /// Work that waits, in units times seconds.
-    waiting_work: f64,
+    /// What works off all that waits in time.
+    pub(super) drain: f64,
     shape: Resources,
 }
 
@@ -82,7 +82,7 @@
             active: 0.0,
             pending: 0.0,
             quiet_since: None,
-            waiting_work: 0.0,
+            drain: 0.0,
             shape: Resources::default(),
         }
     }
@@ -576,7 +576,7 @@
 
     fn measure_demand(&mut self, now: Instant) {
         for demand in self.demand.values_mut() {
-            (demand.ideal, demand.active, demand.pending, demand.waiting_work) = (0.0, 0.0, 0.0, 0.0);
+            (demand.ideal, demand.active, demand.pending, demand.drain) = (0.0, 0.0, 0.0, 0.0);
         }
         let start_delay = self.config.settings.cluster.workers.report().mul_f64(0.5);
         let ids: Vec<JobId> = self.jobs.values().filter(|j| j.is_live()).map(|j| j.id().clone()).collect();
@@ -596,6 +596,12 @@
             let active = unit * job.active.len() as f64;
             let pending = unit * f64::from(job.pending());
             // What a team asks beyond its limit cannot run at once.
+            // What waits is to be worked off while, or soon after, what is rented
+            // for it boots, since more would come up to find nothing to do; and
+            // over a longer time if the job's aims leave it.
+            let boot = self.longest_boot();
+            let due = self.latest_start(job, now) + Duration::from_secs_f64(run);
+            let time = due.saturating_duration_since(now).clamp(boot * 2, boot * 4);
             let offered = job.offered.unwrap_or_else(|| (unit * f64::from(job.unfinished())).min(limit));
             let arriving = job.offered.is_none();
             let ideal_end = job.submitted + Duration::from_secs_f64(run) + start_delay;
@@ -603,7 +609,7 @@
             let demand = self.demand.entry(key).or_insert_with(|| Demand::new(now));
             demand.active += active;
             demand.pending += pending.min(limit);
-            demand.waiting_work += pending * run;
+            demand.drain += pending * run / time.as_secs_f64();
             demand.ideal += if runs_ideally { offered } else { 0.0 };
             if arriving {
                 demand.arrive(offered);
@@ -753,16 +759,12 @@
                 (kind, r.zone.clone(), r.spot, f64::from(r.count))
             })
             .collect();
-        let boot = self.longest_boot().as_secs_f64();
         let mut wanted = HashSet::new();
         let mut orders = Vec::new();
         for (key, demand) in groups {
             let ready = if key.patient { 0.0 } else { demand.spread() * headroom };
             let usual = demand.mean * mean_ratio + ready;
-            // What waits is to be worked off while, or soon after, what is
-            // rented for it boots; more would come up to find nothing to do.
-            let time = if key.patient { 4.0 * boot } else { 2.0 * boot };
-            let backlog = demand.mean + demand.waiting_work / time;
+            let backlog = demand.mean + demand.drain;
             let at_once = demand.active + demand.pending;
             let mut need = usual.max(backlog.min(at_once));
             if demand.quiet_since.is_some_and(|since| now > since + self.longest_boot()) {
--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -106,7 +106,7 @@
     /// When a job's tasks must start for the next of the users' aims that can
     /// still be met. With all of them missed it goes behind those for whom
     /// haste still helps, by a boot time, and then by age.
-    fn latest_start(&self, job: &Job, now: Instant) -> Instant {
+    pub(super) fn latest_start(&self, job: &Job, now: Instant) -> Instant {
         let next =
             self.starts_aimed_at(job.spec()).map(|after| job.submitted + after).filter(|&at| at > now).min();
         next.unwrap_or_else(|| {
--- a/src/coordination/tests.rs
+++ b/src/coordination/tests.rs
@@ -1087,3 +1087,22 @@
     }
     assert!(!rig.cloud.iter().any(|(_, c)| matches!(c, CloudCall::Delete(_))), "the fault is on this side");
 }
+
+#[test]
+fn a_backlog_asks_for_more_as_its_aims_come_near() {
+    let mut rig = Rig::with_machines(&["vm-1"]);
+    let mut job = sample("job-1", "red", 20, 1.0);
+    (job.estimate_s, job.deadline_s) = (20.0, Some(150.0));
+    rig.accept(job);
+    let mut drains = Vec::new();
+    for seq in 0..12 {
+        rig.pass(10.0);
+        rig.report("vm-9", 1, seq, EPOCH, vec![]);
+        drains.push(rig.leader.demand.values().map(|d| d.drain).sum::<f64>());
+    }
+    // Boots take 30 s: at first the work may take four, at last two of them.
+    let work = 20.0 * 20.0;
+    let close = |a: f64, b: f64| (a - b).abs() < b * 0.02;
+    assert!(close(drains[0], work / 120.0) && close(drains[11], work / 60.0), "{drains:?}");
+    assert!(drains.windows(2).all(|pair| pair[0] <= pair[1] + 1e-9), "{drains:?}");
+}
