Do not wait for graces that nobody is in

Cause: after a takeover a silent machine is waited for a lease and, since its former leader may have gone on answering past its own, half a lease more. Excluded: adoption, which takes 6 s.

Tests seen to fail: an answer from before the takeover counted, a lapsed leader counted as free, a later answer putting the proof off, no lease at all.

--- a/src/coordination/agents.rs
+++ b/src/coordination/agents.rs
@@ -443,7 +443,7 @@
     /// has killed all its tasks.
     pub(super) fn prove_silent_machines(&mut self, now: Instant) {
         let proof = self.config.lease_proof();
-        let unheard = self.loaded_at + self.config.takeover_proof();
+        let unheard = self.unheard_proof();
         let silent: Vec<MachineId> = self
             .machines
             .values()
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -163,6 +163,8 @@
     /// Since when this leader has answered reports without a break.
     pub(super) since: Instant,
     pub(super) loaded_at: Instant,
+    /// Since when no earlier leader can have answered a worker.
+    graces_over: Option<Instant>,
     pub(super) jobs: HashMap<JobId, Job>,
     pub(super) creating: HashMap<JobId, Creating>,
     pub(super) teams: Vec<Team>,
@@ -225,6 +227,7 @@
             until: now,
             since: now,
             loaded_at: now,
+            graces_over: None,
             jobs: HashMap::new(),
             creating: HashMap::new(),
             teams,
@@ -299,6 +302,25 @@
         self.fenced
     }
 
+    /// Whether it would help to know that no earlier leader is in its grace.
+    pub fn awaits_graces(&self) -> bool {
+        !self.was_whole && self.graces_over.is_none()
+    }
+
+    /// Every other controller has said, by then and after this epoch began,
+    /// that it has no picture of any epoch and so answers no worker. What it
+    /// held before, a dead process' included, is over: a name is used by one
+    /// process at a time, and a picture is only had with a new epoch.
+    pub fn graces_are_over(&mut self, at: Instant) {
+        self.graces_over.get_or_insert(at);
+    }
+
+    /// When a machine that this epoch has never answered has lost its lease.
+    pub(super) fn unheard_proof(&self) -> Instant {
+        let grace = self.loaded_at + self.config.takeover_proof();
+        self.graces_over.map_or(grace, |at| grace.min(at + self.config.lease_proof()))
+    }
+
     pub fn take_actions(&mut self) -> Vec<Action> {
         std::mem::take(&mut self.actions)
     }
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -15,7 +15,7 @@
 use super::leader::{Action, Answer, Config, Leader, Loaded, LoadedJob};
 use super::loading::{load, walk};
 use super::model::ReplyTo;
-use super::peers::{Detour, Detours, Peers};
+use super::peers::{Detour, Detours, Peers, Standing};
 use super::statistics::Statistics;
 use crate::protocol::cbor::{Fields, Malformed, MapBuilder, decode, encode};
 use crate::protocol::jobs::{JobId, JobSpec, JobStatus};
@@ -100,7 +100,7 @@
     /// Another controller was asked whether it leads; `None`: no answer.
     PeerAnswered {
         peer: String,
-        leads: Option<Option<u64>>,
+        standing: Option<Standing>,
     },
     /// A call to another controller got no answer in time.
     PeerSilent {
@@ -444,7 +444,7 @@
                 }
             }
             Inner::DirectDone => self.directs -= 1,
-            Inner::PeerAnswered { peer, leads } => self.peer_answered(now, &peer, leads),
+            Inner::PeerAnswered { peer, standing } => self.peer_answered(now, &peer, standing),
             Inner::PeerSilent { peer } => self.peers.silent(now, &peer),
             Inner::Relayed { silent } => {
                 self.relaying -= 1;
@@ -483,7 +483,8 @@
         let follows = matches!(self.role, Role::Follows { .. });
         if leads || follows {
             self.peers.rest();
-        } else {
+        }
+        if !(leads || follows) || self.leader.as_ref().is_some_and(Leader::awaits_graces) {
             self.ask_peers(now);
         }
         let known = leads || follows || self.peers.leading(now).is_some();
@@ -513,17 +514,30 @@
             let inner = self.inner.clone();
             tokio::spawn(async move {
                 let reply = link.call(PeerCall::Lead, false, patience).await;
-                let leads = reply.map(|r| match r.status {
-                    200 => decode(&r.body).and_then(|v| Fields::of(&v)?.count("epoch")).ok(),
-                    _ => None,
+                let standing = reply.and_then(|r| {
+                    let body = decode(&r.body).ok()?;
+                    let f = Fields::of(&body).ok()?;
+                    match r.status {
+                        200 => f.count("epoch").ok().map(Standing::Leads),
+                        _ if f.bool("free").ok()? => Some(Standing::Free),
+                        _ => Some(Standing::Lapsed),
+                    }
                 });
-                let _ = inner.send(Inner::PeerAnswered { peer, leads }).await;
+                let _ = inner.send(Inner::PeerAnswered { peer, standing }).await;
             });
         }
     }
 
-    fn peer_answered(&mut self, now: Instant, peer: &str, leads: Option<Option<u64>>) {
-        self.peers.answered(now, peer, leads);
+    fn peer_answered(&mut self, now: Instant, peer: &str, standing: Option<Standing>) {
+        self.peers.answered(now, peer, standing);
+        // Nobody else answers workers any more: the wait for silent machines
+        // need not cover a grace.
+        let listed = self.links.len() + 1 >= self.config.settings.cluster.size as usize;
+        if let Some(leader) = self.leader.as_mut().filter(|_| listed)
+            && let Some(at) = self.peers.all_free_since(leader.loaded_at)
+        {
+            leader.graces_are_over(at);
+        }
         // A higher epoch means that the key was written anew: ours is over, and
         // keeping workers here for the rest of the grace would only hold them
         // back from their new leader.
@@ -663,7 +677,12 @@
                 let epoch = self.leader.as_ref().filter(|l| l.valid(now)).map(Leader::epoch);
                 let answer = match epoch {
                     Some(epoch) => Answer::new(200, &MapBuilder::new().set("epoch", epoch).build()),
-                    None => Answer::refused(421, "does not lead"),
+                    // Without a picture no worker gets a 200 from here, and a
+                    // picture comes only with a new epoch.
+                    None => {
+                        let free = self.leader.is_none();
+                        Answer::new(421, &MapBuilder::new().set("free", free).build())
+                    }
                 };
                 drop(reply.send(answer));
             }
@@ -947,9 +966,9 @@
         node.role = Role::Leads { epoch: 40, until: now };
         node.tick();
         assert!(!*node.ready.borrow(), "it never was ready, and leads no more");
-        node.peer_answered(now, "c-1", Some(Some(39)));
+        node.peer_answered(now, "c-1", Some(Standing::Leads(39)));
         assert!(node.leader.is_some(), "an earlier epoch is no news");
-        node.peer_answered(now, "c-1", Some(Some(41)));
+        node.peer_answered(now, "c-1", Some(Standing::Leads(41)));
         assert!(node.leader.is_none());
         assert_eq!(node.other_leader(now), Some("c-1"));
         node.tick();
@@ -997,7 +1016,7 @@
         let lost = send(&mut node, Some(Vec::new())).await.expect("answered at once");
         assert_eq!(named(lost), (421, None));
         // A new leader: the way to it may be open.
-        node.peers.answered(Instant::now(), "c-1", Some(None));
+        node.peers.answered(Instant::now(), "c-1", Some(Standing::Free));
         node.take_role(Role::Follows { leader: "c-2".into() });
         let next = send(&mut node, Some(Vec::new())).await.expect("answered");
         assert_eq!(named(next), (421, Some("c-2".into())));
--- a/src/coordination/peers.rs
+++ b/src/coordination/peers.rs
@@ -20,10 +20,23 @@
     heard_at: Option<Instant>,
     /// The epoch that it said it leads, and when.
     leads: Option<(u64, Instant)>,
+    /// When it said that it answers no worker, not even past its lease.
+    free_at: Option<Instant>,
     /// A call to it got no answer.
     failed_at: Option<Instant>,
 }
 
+/// How a controller stands to leading, by its own words.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// Under a valid lease.
+    Leads(u64),
+    /// Past its lease; it may still answer workers for a while.
+    Lapsed,
+    /// It has no picture of any epoch, so it answers no worker.
+    Free,
+}
+
 #[derive(Debug)]
 pub struct Peers {
     /// Life of the leader's lease.
@@ -57,15 +70,21 @@
         names
     }
 
-    /// A peer's answer, if there was any: the epoch that it leads, if it does.
-    pub fn answered(&mut self, now: Instant, name: &str, answer: Option<Option<u64>>) {
+    /// A peer's answer, if there was any.
+    pub fn answered(&mut self, now: Instant, name: &str, answer: Option<Standing>) {
         let Some(peer) = self.peers.get_mut(name) else { return };
         peer.asking = false;
         match answer {
-            Some(epoch) => {
+            Some(standing) => {
                 peer.heard_at = Some(now);
                 peer.failed_at = None;
-                peer.leads = epoch.map(|epoch| (epoch, now));
+                peer.leads = match standing {
+                    Standing::Leads(epoch) => Some((epoch, now)),
+                    _ => None,
+                };
+                if standing == Standing::Free {
+                    peer.free_at = Some(now);
+                }
             }
             None => {
                 peer.failed_at = Some(now);
@@ -86,6 +105,12 @@
             .max_by_key(|(_, epoch)| *epoch)
     }
 
+    /// When the last of all others said, since then, that it answers no worker.
+    pub fn all_free_since(&self, since: Instant) -> Option<Instant> {
+        let free = |p: &Peer| p.free_at.filter(|at| *at >= since);
+        self.peers.values().map(free).try_fold(since, |latest, at| Some(latest.max(at?)))
+    }
+
     /// A call to the peer got no answer in time.
     pub fn silent(&mut self, now: Instant, name: &str) {
         if let Some(peer) = self.peers.get_mut(name) {
@@ -192,11 +217,11 @@
         let mut p = peers();
         assert_eq!(p.to_ask(now), ["c-1", "c-2"]);
         assert!(p.to_ask(now + TTL).is_empty(), "one question at a time");
-        p.answered(now, "c-1", Some(Some(40)));
-        p.answered(now, "c-2", Some(Some(41)));
+        p.answered(now, "c-1", Some(Standing::Leads(40)));
+        p.answered(now, "c-2", Some(Standing::Leads(41)));
         assert_eq!(p.leading(now), Some(("c-2", 41)));
         assert_eq!(p.leading(now + TTL), None, "not heard of lately");
-        p.answered(now + TTL, "c-2", Some(None));
+        p.answered(now + TTL, "c-2", Some(Standing::Free));
         assert_eq!(p.leading(now + TTL), None);
     }
 
@@ -209,7 +234,7 @@
         p.answered(now, "c-1", None);
         assert!(!p.cut_off(now + TTL / 2) && p.cut_off(now + TTL));
         p.to_ask(now + TTL);
-        p.answered(now + TTL, "c-1", Some(None));
+        p.answered(now + TTL, "c-1", Some(Standing::Free));
         assert!(!p.cut_off(now + TTL), "somebody is there");
         p.rest();
         assert!(!p.cut_off(now + TTL * 9), "a leader is known");
@@ -242,4 +267,18 @@
         detours.clear();
         assert_eq!(detours.judge(now + TTL * 3, &worker), Detour::Redirect, "to the new leader");
     }
+
+    #[test]
+    fn all_others_must_say_that_they_answer_no_worker_and_after_the_takeover() {
+        let now = Instant::now();
+        let mut p = peers();
+        p.answered(now, "c-1", Some(Standing::Free));
+        p.answered(now + TTL, "c-1", Some(Standing::Lapsed));
+        p.answered(now + TTL, "c-2", Some(Standing::Free));
+        assert_eq!(p.all_free_since(now), Some(now + TTL), "what was free takes no epoch up again");
+        assert_eq!(p.all_free_since(now + TTL), None, "said before the takeover, it may have led since");
+        p.answered(now + TTL * 2, "c-1", Some(Standing::Free));
+        assert_eq!(p.all_free_since(now + TTL), Some(now + TTL * 2));
+        assert_eq!(Peers::new([], TTL).all_free_since(now), Some(now));
+    }
 }
--- a/src/coordination/tests.rs
+++ b/src/coordination/tests.rs
@@ -1106,3 +1106,24 @@
     assert!(close(drains[0], work / 120.0) && close(drains[11], work / 60.0), "{drains:?}");
     assert!(drains.windows(2).all(|pair| pair[0] <= pair[1] + 1e-9), "{drains:?}");
 }
+
+#[test]
+fn without_a_grace_to_cover_old_jobs_wait_for_a_lease_only() {
+    let old = loaded_job(sample("job-1", "red", 1, 1.0));
+    let mut rig = Rig::new(vec![old], vec![hired("vm-1", true), hired("vm-2", true)]);
+    rig.beat("vm-1", 5, EPOCH, vec![]);
+    assert!(rig.leader.awaits_graces());
+    rig.pass(1.0);
+    let (over, mut seq) = (rig.now, 5);
+    rig.leader.graces_are_over(over);
+    rig.leader.graces_are_over(over + Duration::from_secs(9));
+    assert!(!rig.leader.awaits_graces(), "the first proof is enough");
+    while rig.now + Duration::from_secs(2) < over + rig.config.lease_proof() {
+        rig.pass(2.0);
+        seq += 1;
+        assert_eq!(rig.beat("vm-1", seq, EPOCH, vec![]), vec![], "vm-2 may be in its lease");
+    }
+    rig.pass(2.1);
+    assert!(rig.now < rig.leader.loaded_at + rig.config.takeover_proof());
+    assert_eq!(starts(&rig.beat("vm-1", seq + 1, EPOCH, vec![])).len(), 1);
+}
