Give up a machine kept clear for a starved job once nothing may be placed on it

Cause, found on re-reading: a machine kept clear for a job that must begin stayed kept for it when it was condemned, taken back or doubted; the job then got no other, and smaller work took all room again. Test seen to fail without the change.

--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -85,7 +85,9 @@
     /// smaller tasks would take every bit of room as it comes free. True if it
     /// is to be this one.
     fn keep_clear_for(&mut self, job: &JobId, machine: &MachineId) -> bool {
-        let reserved = self.reserved.get(job).filter(|id| self.machines.contains_key(*id));
+        // One that has gone, or that nothing may be placed on, is given up.
+        let usable = |id: &&MachineId| self.machines.get(*id).is_some_and(Machine::has_open_room);
+        let reserved = self.reserved.get(job).filter(usable);
         if let Some(reserved) = reserved {
             return reserved == machine;
         }
--- a/src/coordination/tests.rs
+++ b/src/coordination/tests.rs
@@ -1127,3 +1127,39 @@
     assert!(rig.now < rig.leader.loaded_at + rig.config.takeover_proof());
     assert_eq!(starts(&rig.beat("vm-1", seq + 1, EPOCH, vec![])).len(), 1);
 }
+
+#[test]
+fn a_machine_kept_clear_that_fails_is_replaced_by_another() {
+    let mut rig = Rig::with_machines(&["vm-1", "vm-3"]);
+    rig.accept(sample("job-1", "blue", 4, 4.0));
+    let mut running: Vec<_> = ["vm-1", "vm-3"].map(|name| starts(&rig.beat(name, 5, EPOCH, vec![]))).into();
+    let mut large = sample("job-2", "red", 1, 8.0);
+    large.priority = Priority::BestEffort;
+    rig.accept(large);
+    let half = rig.config.tuning.begin_within.as_secs_f64() / 2.0;
+    let mut seq = 5;
+    let mut report = |rig: &mut Rig, at: usize, tasks: &[(TaskId, u64)]| {
+        seq += 1;
+        let tasks = tasks.iter().map(|s| listed(s, TaskState::Running)).collect();
+        starts(&rig.beat(["vm-1", "vm-3"][at], seq, EPOCH, tasks))
+    };
+    for _ in 0..(half / 3.0) as u32 + 1 {
+        rig.pass(3.0);
+        (0..2).for_each(|at| drop(report(&mut rig, at, &running[at])));
+    }
+    let mut urgent = sample("job-3", "blue", 4, 4.0);
+    urgent.priority = Priority::Critical;
+    rig.accept(urgent);
+    // Half of each comes free: the first is kept clear, the second is not.
+    running.iter_mut().for_each(|tasks| drop(tasks.pop()));
+    assert_eq!(report(&mut rig, 0, &running[0]), vec![]);
+    let more = report(&mut rig, 1, &running[1]);
+    running[1].extend(more);
+    assert_eq!(running[1].len(), 2);
+    // Nothing may be placed on the first any more; then it is the second.
+    rig.leader.machines.get_mut(&machine("vm-1")).expect("there").condemned = true;
+    running[1].pop();
+    rig.pass(0.5);
+    assert_eq!(report(&mut rig, 1, &running[1]), vec![]);
+    assert_eq!(report(&mut rig, 1, &[])[0].0.job, id("job-2"));
+}
