Test late acquires of former processes, and polls that no way is left for

Two of the added troubles had been read in the code but not shown: several processes of one name within one election, and a follower whose leader cannot be reached by any way.

--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -521,6 +521,32 @@
         assert_eq!(e.next(now), Step::Read);
     }
 
+    /// Back within a moment, several times in one election: what an earlier
+    /// process of the same name still had under way may win before us, and is
+    /// ended by its own lease, never by its name.
+    #[test]
+    fn late_acquires_of_former_processes_are_ended_one_by_one() {
+        let now = Instant::now();
+        let mut e = Election::new("c-0", "third", TTL);
+        e.on_read(now, Ok(None));
+        e.on_lease(now, now, Some(7));
+        // The first process' acquire, held back until now, was carried out.
+        e.on_acquire(now, AcquireOutcome::Lost);
+        assert_eq!(e.next(now), Step::Read);
+        e.on_read(now, Ok(Some(holder_of("c-0", "first", 40, 5))));
+        assert_eq!((e.role(), e.next(now)), (Role::Leaderless, Step::EndLease { lease: 5 }));
+        e.on_end_lease(now, 5, true);
+        e.on_read(now, Ok(Some(holder_of("c-0", "second", 41, 6))));
+        assert_eq!(e.next(now), Step::EndLease { lease: 6 });
+        e.on_end_lease(now, 6, true);
+        e.on_read(now, Ok(None));
+        assert_eq!(e.next(now), Step::Acquire { lease: 7 }, "our own was not ended with theirs");
+        // Its answer is lost, and the key tells: ours by incarnation.
+        e.on_acquire(now, AcquireOutcome::Unknown);
+        e.on_read(now, Ok(Some(holder_of("c-0", "third", 42, 7))));
+        assert!(matches!(e.role(), Role::Leads { epoch: 42, .. }));
+    }
+
     #[test]
     fn a_follower_without_the_state_service_names_no_leader_for_long() {
         let now = Instant::now();
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -1022,6 +1022,32 @@
         assert_eq!(named(next), (421, Some("c-2".into())));
     }
 
+    /// Nobody is forgotten: a follower whose leader cannot be reached, by any
+    /// way, answers a poll from the record, within what a user waits.
+    #[tokio::test]
+    async fn a_poll_that_no_way_is_left_for_is_answered_from_the_record() {
+        let (mut node, mut inputs, _front) = rig().await;
+        let spec = crate::protocol::jobs::tests::sample("job-1", "red", 1, 1.0);
+        let record = JobRecord::new(spec.clone(), 0).encode(8.0);
+        let key = record_key(&spec.id);
+        let change = crate::protocol::state::Change::Put { key, value: record, lease: None };
+        let mut write = crate::storage::stand_in::put(0, "unused", 0);
+        (write.conditions, write.changes) = (Vec::new(), vec![change]);
+        assert!(node.store.commit(write).await.is_ok());
+        // Nothing listens where the other two controllers are said to be.
+        node.role = Role::Follows { leader: "c-1".into() };
+        let (reply, answer) = oneshot::channel();
+        node.take_user(PeerCall::Poll("job-1".into()), reply, Origin::User);
+        tokio::pin!(answer);
+        let answer = loop {
+            tokio::select! {
+                answer = &mut answer => break answer.expect("answered"),
+                Some(inner) = inputs.inner.recv() => node.take_inner(inner),
+            }
+        };
+        assert_eq!(answer.status, 200);
+    }
+
     #[tokio::test]
     async fn what_was_handed_on_cannot_be_handed_on_again() {
         let (_node, mut inputs, front) = rig().await;
