Let an answer that was never heeded shorten no proof of silence

Found on re-reading. The proof that a machine has lost its lease ran from our last 200 also for a machine that had never shown our token. Such a machine may not have got that answer, as when it is deaf to us, and a former leader in its grace may have kept it alive for up to half a lease longer than was waited: its tasks could have run twice. Now the longer of the two waits holds until the token is seen. A test, seen to fail without the change. Comments that had become wrong are put right: what is concluded from other controllers' answers, and where a team's limit counts.

--- a/src/coordination/agents.rs
+++ b/src/coordination/agents.rs
@@ -449,9 +449,16 @@
             .values()
             .filter(|m| m.phase != Phase::Booting || !m.known)
             .filter(|m| !m.known || !m.slots.is_empty())
-            // An answer of ours carries the higher token, after which those of
-            // an earlier leader are dropped.
-            .filter(|m| now >= m.answered.map_or(unheard, |a| a + proof))
+            // A machine that has shown our token drops the answers of an earlier
+            // leader. One that has not may never have got ours, and an earlier
+            // leader in its grace may have kept it alive since.
+            .filter(|m| {
+                now >= match m.answered.map(|at| at + proof) {
+                    Some(own) if m.seen.is_some() => own,
+                    Some(own) => own.max(unheard),
+                    None => unheard,
+                }
+            })
             .map(|m| m.id.clone())
             .collect();
         for machine in silent {
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -595,13 +595,13 @@
             let run = self.expected_run(spec);
             let active = unit * job.active.len() as f64;
             let pending = unit * f64::from(job.pending());
-            // What a team asks beyond its limit cannot run at once.
             // What waits is to be worked off while, or soon after, what is rented
             // for it boots, since more would come up to find nothing to do; and
             // over a longer time if the job's aims leave it.
             let boot = self.longest_boot();
             let due = self.latest_start(job, now) + Duration::from_secs_f64(run);
             let time = due.saturating_duration_since(now).clamp(boot * 2, boot * 4);
+            // What a team asks beyond its limit cannot run at once.
             let offered = job.offered.unwrap_or_else(|| (unit * f64::from(job.unfinished())).min(limit));
             let arriving = job.offered.is_none();
             let ideal_end = job.submitted + Duration::from_secs_f64(run) + start_delay;
--- a/src/coordination/peers.rs
+++ b/src/coordination/peers.rs
@@ -2,9 +2,10 @@
 //! says: which of them leads, and which of them can be reached.
 //!
 //! A controller that has lost the state service cannot learn from it who leads.
-//! The others may know. Nothing is decided by what is heard here: it only says
-//! where requests and reports are handed on to, and the leader answers them
-//! under its own lease.
+//! The others may know; that says only where requests and reports are handed on
+//! to, and the leader answers them under its own lease. One thing is concluded
+//! from it: that no earlier leader answers workers any more, see
+//! `Leader::graces_are_over`.
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
--- a/src/coordination/tests.rs
+++ b/src/coordination/tests.rs
@@ -1163,3 +1163,24 @@
     assert_eq!(report(&mut rig, 1, &running[1]), vec![]);
     assert_eq!(report(&mut rig, 1, &[])[0].0.job, id("job-2"));
 }
+
+/// An answer sent is no proof that it was received: the worker may have gone
+/// back to the former leader, which answers on in its grace.
+#[test]
+fn an_answer_that_was_never_heeded_shortens_no_proof() {
+    let old = loaded_job(sample("job-1", "red", 1, 1.0));
+    let mut rig = Rig::new(vec![old], vec![hired("vm-1", true), hired("vm-2", true)]);
+    rig.beat("vm-2", 5, EPOCH, vec![]);
+    assert_eq!(
+        rig.report("vm-1", 1, 5, EPOCH - 1, vec![]),
+        ReportReply::Orders { token: EPOCH, orders: vec![] }
+    );
+    let mut seq = 5;
+    while rig.now + Duration::from_secs(2) < rig.leader.loaded_at + rig.config.takeover_proof() {
+        rig.pass(2.0);
+        seq += 1;
+        assert_eq!(starts(&rig.beat("vm-2", seq, EPOCH, vec![])), vec![]);
+    }
+    rig.pass(2.1);
+    assert_eq!(starts(&rig.beat("vm-2", seq + 1, EPOCH, vec![])).len(), 1);
+}
