Ask in one place whether a job allows a machine; name what peers say Stance

Type, zone and spot were checked in four places of the scheduler, one of them by listing all fitting types first. Standing already names what users are told of a job. No behaviour changes.

--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -15,7 +15,7 @@
 use super::leader::{Action, Answer, Config, Leader, Loaded, LoadedJob};
 use super::loading::{load, walk};
 use super::model::ReplyTo;
-use super::peers::{Detour, Detours, Peers, Standing};
+use super::peers::{Detour, Detours, Peers, Stance};
 use super::statistics::Statistics;
 use crate::protocol::cbor::{Fields, Malformed, MapBuilder, decode, encode};
 use crate::protocol::jobs::{JobId, JobSpec, JobStatus};
@@ -100,7 +100,7 @@
     /// Another controller was asked whether it leads; `None`: no answer.
     PeerAnswered {
         peer: String,
-        standing: Option<Standing>,
+        stance: Option<Stance>,
     },
     /// A call to another controller got no answer in time.
     PeerSilent {
@@ -444,7 +444,7 @@
                 }
             }
             Inner::DirectDone => self.directs -= 1,
-            Inner::PeerAnswered { peer, standing } => self.peer_answered(now, &peer, standing),
+            Inner::PeerAnswered { peer, stance } => self.peer_answered(now, &peer, stance),
             Inner::PeerSilent { peer } => self.peers.silent(now, &peer),
             Inner::Relayed { silent } => {
                 self.relaying -= 1;
@@ -514,22 +514,22 @@
             let inner = self.inner.clone();
             tokio::spawn(async move {
                 let reply = link.call(PeerCall::Lead, false, patience).await;
-                let standing = reply.and_then(|r| {
+                let stance = reply.and_then(|r| {
                     let body = decode(&r.body).ok()?;
                     let f = Fields::of(&body).ok()?;
                     match r.status {
-                        200 => f.count("epoch").ok().map(Standing::Leads),
-                        _ if f.bool("free").ok()? => Some(Standing::Free),
-                        _ => Some(Standing::Lapsed),
+                        200 => f.count("epoch").ok().map(Stance::Leads),
+                        _ if f.bool("free").ok()? => Some(Stance::Free),
+                        _ => Some(Stance::Lapsed),
                     }
                 });
-                let _ = inner.send(Inner::PeerAnswered { peer, standing }).await;
+                let _ = inner.send(Inner::PeerAnswered { peer, stance }).await;
             });
         }
     }
 
-    fn peer_answered(&mut self, now: Instant, peer: &str, standing: Option<Standing>) {
-        self.peers.answered(now, peer, standing);
+    fn peer_answered(&mut self, now: Instant, peer: &str, stance: Option<Stance>) {
+        self.peers.answered(now, peer, stance);
         // Nobody else answers workers any more: the wait for silent machines
         // need not cover a grace.
         let listed = self.links.len() + 1 >= self.config.settings.cluster.size as usize;
@@ -966,9 +966,9 @@
         node.role = Role::Leads { epoch: 40, until: now };
         node.tick();
         assert!(!*node.ready.borrow(), "it never was ready, and leads no more");
-        node.peer_answered(now, "c-1", Some(Standing::Leads(39)));
+        node.peer_answered(now, "c-1", Some(Stance::Leads(39)));
         assert!(node.leader.is_some(), "an earlier epoch is no news");
-        node.peer_answered(now, "c-1", Some(Standing::Leads(41)));
+        node.peer_answered(now, "c-1", Some(Stance::Leads(41)));
         assert!(node.leader.is_none());
         assert_eq!(node.other_leader(now), Some("c-1"));
         node.tick();
@@ -1016,7 +1016,7 @@
         let lost = send(&mut node, Some(Vec::new())).await.expect("answered at once");
         assert_eq!(named(lost), (421, None));
         // A new leader: the way to it may be open.
-        node.peers.answered(Instant::now(), "c-1", Some(Standing::Free));
+        node.peers.answered(Instant::now(), "c-1", Some(Stance::Free));
         node.take_role(Role::Follows { leader: "c-2".into() });
         let next = send(&mut node, Some(Vec::new())).await.expect("answered");
         assert_eq!(named(next), (421, Some("c-2".into())));
--- a/src/coordination/peers.rs
+++ b/src/coordination/peers.rs
@@ -29,7 +29,7 @@
 
 /// How a controller stands to leading, by its own words.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Standing {
+pub enum Stance {
     /// Under a valid lease.
     Leads(u64),
     /// Past its lease; it may still answer workers for a while.
@@ -72,18 +72,18 @@
     }
 
     /// A peer's answer, if there was any.
-    pub fn answered(&mut self, now: Instant, name: &str, answer: Option<Standing>) {
+    pub fn answered(&mut self, now: Instant, name: &str, answer: Option<Stance>) {
         let Some(peer) = self.peers.get_mut(name) else { return };
         peer.asking = false;
         match answer {
-            Some(standing) => {
+            Some(stance) => {
                 peer.heard_at = Some(now);
                 peer.failed_at = None;
-                peer.leads = match standing {
-                    Standing::Leads(epoch) => Some((epoch, now)),
+                peer.leads = match stance {
+                    Stance::Leads(epoch) => Some((epoch, now)),
                     _ => None,
                 };
-                if standing == Standing::Free {
+                if stance == Stance::Free {
                     peer.free_at = Some(now);
                 }
             }
@@ -218,11 +218,11 @@
         let mut p = peers();
         assert_eq!(p.to_ask(now), ["c-1", "c-2"]);
         assert!(p.to_ask(now + TTL).is_empty(), "one question at a time");
-        p.answered(now, "c-1", Some(Standing::Leads(40)));
-        p.answered(now, "c-2", Some(Standing::Leads(41)));
+        p.answered(now, "c-1", Some(Stance::Leads(40)));
+        p.answered(now, "c-2", Some(Stance::Leads(41)));
         assert_eq!(p.leading(now), Some(("c-2", 41)));
         assert_eq!(p.leading(now + TTL), None, "not heard of lately");
-        p.answered(now + TTL, "c-2", Some(Standing::Free));
+        p.answered(now + TTL, "c-2", Some(Stance::Free));
         assert_eq!(p.leading(now + TTL), None);
     }
 
@@ -235,7 +235,7 @@
         p.answered(now, "c-1", None);
         assert!(!p.cut_off(now + TTL / 2) && p.cut_off(now + TTL));
         p.to_ask(now + TTL);
-        p.answered(now + TTL, "c-1", Some(Standing::Free));
+        p.answered(now + TTL, "c-1", Some(Stance::Free));
         assert!(!p.cut_off(now + TTL), "somebody is there");
         p.rest();
         assert!(!p.cut_off(now + TTL * 9), "a leader is known");
@@ -273,12 +273,12 @@
     fn all_others_must_say_that_they_answer_no_worker_and_after_the_takeover() {
         let now = Instant::now();
         let mut p = peers();
-        p.answered(now, "c-1", Some(Standing::Free));
-        p.answered(now + TTL, "c-1", Some(Standing::Lapsed));
-        p.answered(now + TTL, "c-2", Some(Standing::Free));
+        p.answered(now, "c-1", Some(Stance::Free));
+        p.answered(now + TTL, "c-1", Some(Stance::Lapsed));
+        p.answered(now + TTL, "c-2", Some(Stance::Free));
         assert_eq!(p.all_free_since(now), Some(now + TTL), "what was free takes no epoch up again");
         assert_eq!(p.all_free_since(now + TTL), None, "said before the takeover, it may have led since");
-        p.answered(now + TTL * 2, "c-1", Some(Standing::Free));
+        p.answered(now + TTL * 2, "c-1", Some(Stance::Free));
         assert_eq!(p.all_free_since(now + TTL), Some(now + TTL * 2));
         assert_eq!(Peers::new([], TTL).all_free_since(now), Some(now));
     }
--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -13,7 +13,6 @@
 
 use super::leader::Leader;
 use super::model::{Job, Machine, Resources, SlotKey, SlotState, Team};
-use crate::protocol::cloud::MachineType;
 use crate::protocol::jobs::{JobId, JobSpec, Priority, TaskId};
 use crate::protocol::workers::{MachineId, Order};
 
@@ -96,9 +95,8 @@
         let suits = self.team_has_room(j)
             && (self.was_whole || j.unproven == 0)
             && m.has_open_room()
-            && (spec.spot || !m.spot)
-            && spec.zone.as_ref().is_none_or(|zone| *zone == m.zone)
-            && self.fitting_types(spec).contains(&m.kind);
+            && self.may_use(spec, m)
+            && self.catalog.get(m.kind).is_some_and(|k| Resources::of(spec).fits(&Resources::of_type(k)));
         if suits {
             self.reserved.insert(job.clone(), machine.clone());
         }
@@ -319,14 +317,17 @@
     /// Whether a task of a new job could start now.
     pub(super) fn has_room_for(&self, spec: &JobSpec) -> bool {
         let need = Resources::of(spec);
-        let types = self.fitting_types(spec);
-        self.machines.values().any(|m| {
-            m.has_open_room()
-                && need.fits(&m.free)
-                && (spec.spot || !m.spot)
-                && types.contains(&m.kind)
-                && spec.zone.as_ref().is_none_or(|zone| *zone == m.zone)
-        })
+        self.machines.values().any(|m| m.has_open_room() && need.fits(&m.free) && self.may_use(spec, m))
+    }
+
+    /// Whether the job allows the machine: its type, its zone, spot or not.
+    fn may_use(&self, spec: &JobSpec, machine: &Machine) -> bool {
+        (spec.spot || !machine.spot)
+            && spec.zone.as_ref().is_none_or(|zone| *zone == machine.zone)
+            && self
+                .catalog
+                .get(machine.kind)
+                .is_some_and(|k| spec.types.as_ref().is_none_or(|types| types.contains(&k.name)))
     }
 
     /// Has the records of the jobs whose turn comes next say that they begin,
@@ -356,12 +357,9 @@
     /// What the rules demand of a machine for the job's next task.
     fn eligible(&self, job: &Job, machine: &Machine) -> bool {
         let spec = job.spec();
-        let Some(kind) = self.catalog.get(machine.kind) else { return false };
         if !machine.open()
             || !Resources::of(spec).fits(&machine.free)
-            || (machine.spot && !spec.spot)
-            || spec.zone.as_ref().is_some_and(|z| *z != machine.zone)
-            || spec.types.as_ref().is_some_and(|t| !t.contains(&kind.name))
+            || !self.may_use(spec, machine)
             || machine.slots.keys().any(|(j, t)| j == job.id() && !job.active.contains_key(t))
         {
             return false;
@@ -526,14 +524,7 @@
     ) -> Vec<(MachineId, SlotKey, f64, bool)> {
         let need = Resources::of(job.spec());
         let mut found = Vec::new();
-        for machine in self.machines.values().filter(|m| m.open() && (!m.spot || job.spec().spot)) {
-            let fits = job.spec().zone.as_ref().is_none_or(|z| *z == machine.zone)
-                && self.catalog.get(machine.kind).is_some_and(|k: &MachineType| {
-                    job.spec().types.as_ref().is_none_or(|t| t.contains(&k.name))
-                });
-            if !fits {
-                continue;
-            }
+        for machine in self.machines.values().filter(|m| m.open() && self.may_use(job.spec(), m)) {
             for (key, slot) in &machine.slots {
                 let Some(victim) = self.jobs.get(&key.0) else { continue };
                 let borrowed = slot.team != job.team && slot.team.is_some_and(|t| over[t]);
