Believe that machines are silent only where most of them are heard

Excluded: leases of the workers (no task was killed by one). Silence is now believed where at least half of the zone is heard, and counts for nothing at all while less than half of all machines are.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -137,10 +137,13 @@
 /// Which machines have fallen silent, and whether that can be believed.
 ///
 /// Silence may be the fault of the machine, of the way from its zone, or of this
-/// side. Where others of its zone are heard it is the machine's. A zone that is
-/// silent as a whole is more likely cut off: its machines may be heard of again,
+/// side. Where most others of its zone are heard it is the machine's. A zone that
+/// is mostly silent is more likely cut off: its machines may be heard of again,
 /// by another way or once the cut is over, and keep what they have for a lease.
-/// If nobody is heard at all, nothing follows.
+/// If most of all machines are silent, the fault is taken to be on this side: a
+/// leader that loses its workers hears of them again one by one, and the first
+/// few must not make the others seem dead. If nobody is heard at all, nothing
+/// follows.
 struct Silence {
     now: Instant,
     /// Since when this leader could have heard anybody.
@@ -156,24 +159,24 @@
         m.phase == Phase::Up && self.now > m.heard.map_or(self.since, |h| h.max(self.since)) + time
     }
 
-    fn anybody_heard(&self) -> bool {
-        self.zones.values().any(|(_, heard)| *heard > 0)
-    }
-
     /// Nothing is to be expected of it for now.
     fn is_silent(&self, m: &Machine) -> bool {
-        self.lasts(m, self.silence) && self.anybody_heard()
+        let (up, heard) = self.zones.values().fold((0, 0), |sum, zone| (sum.0 + zone.0, sum.1 + zone.1));
+        self.lasts(m, if most(heard, up) { self.silence } else { self.lease }) && heard > 0
     }
 
     /// It is not coming back: to be returned.
     fn is_gone(&self, m: &Machine) -> bool {
         let (up, heard) = self.zones.get(&m.zone).copied().unwrap_or_default();
-        // One in ten may have been heard of just before the cut.
-        let alone = heard * 10 > up;
-        self.is_silent(m) && (alone || self.lasts(m, self.lease))
+        self.is_silent(m) && (most(heard, up) || self.lasts(m, self.lease))
     }
 }
 
+/// Whether so many of all are the rule, not the exception.
+fn most(count: usize, all: usize) -> bool {
+    count * 2 >= all
+}
+
 /// Whether so many of all are the exception, and to be believed.
 fn few(count: usize, all: usize) -> bool {
     count * 2 <= all.max(1) || count <= 2
--- a/src/coordination/tests.rs
+++ b/src/coordination/tests.rs
@@ -1049,10 +1049,11 @@
 
 #[test]
 fn a_zone_silent_as_a_whole_is_given_a_lease_but_counts_for_nothing_meanwhile() {
-    let mut rig = Rig::with_machines(&["vm-1", "vm-2b", "vm-3b"]);
+    let heard = ["vm-1", "vm-4", "vm-5"];
+    let mut rig = Rig::with_machines(&["vm-1", "vm-2b", "vm-3b", "vm-4", "vm-5"]);
     rig.accept(sample("job-1", "red", 2, 8.0));
-    rig.accept(sample("job-2", "blue", 1, 8.0));
-    for name in ["vm-1", "vm-2b", "vm-3b"] {
+    rig.accept(sample("job-2", "blue", 3, 8.0));
+    for name in ["vm-1", "vm-2b", "vm-3b", "vm-4", "vm-5"] {
         assert_eq!(starts(&rig.beat(name, 5, EPOCH, vec![])).len(), 1);
     }
     rig.cloud.clear();
@@ -1063,17 +1064,48 @@
     while rig.now + Duration::from_secs(2) < begin + lease {
         rig.pass(2.0);
         seq += 1;
-        rig.beat("vm-1", seq, EPOCH, vec![]);
+        for name in heard {
+            rig.beat(name, seq, EPOCH, vec![]);
+        }
         assert!(!rig.cloud.iter().any(|(_, c)| matches!(c, CloudCall::Delete(_))), "cut off, perhaps");
         let wanted = ["vm-2b", "vm-3b"].map(|name| rig.leader.machines[&machine(name)].wanted);
         assert!(rig.now < begin + silence + Duration::from_secs(2) || wanted == [false, false]);
     }
     rig.pass(2.1);
-    rig.beat("vm-1", seq + 1, EPOCH, vec![]);
+    for name in heard {
+        rig.beat(name, seq + 1, EPOCH, vec![]);
+    }
     rig.pass(1.1);
     assert!(rig.cloud.iter().any(|(_, c)| matches!(c, CloudCall::Delete(m) if m.len() == 2)));
 }
 
+/// A leader that loses its workers hears of them again one by one, through the
+/// other controllers. The first few once made it take all others for dead and
+/// return hundreds of machines with what they ran.
+#[test]
+fn the_first_few_heard_again_do_not_make_the_others_seem_dead() {
+    let names: Vec<String> = (0..20).map(|n| format!("vm-{n}")).collect();
+    let mut rig = Rig::with_machines(&names.iter().map(String::as_str).collect::<Vec<_>>());
+    rig.accept(sample("job-1", "blue", 20, 8.0));
+    for name in &names {
+        assert_eq!(starts(&rig.beat(name, 5, EPOCH, vec![])).len(), 1);
+    }
+    rig.cloud.clear();
+    rig.pass(rig.config.tuning.silence.as_secs_f64() + 1.0);
+    for (seq, name) in names.iter().take(8).enumerate() {
+        rig.beat(name, 6 + seq as u64, EPOCH, vec![]);
+        rig.pass(1.0);
+        let asked = rig.cloud.iter().find(|(_, c)| matches!(c, CloudCall::Delete(_) | CloudCall::Hire(_)));
+        assert_eq!(asked, None, "with {} of 20 heard", seq + 1);
+    }
+    // Once most are heard, the rest are believed to be gone.
+    for (seq, name) in names.iter().take(15).enumerate() {
+        rig.beat(name, 20 + seq as u64, EPOCH, vec![]);
+    }
+    rig.pass(1.0);
+    assert!(rig.cloud.iter().any(|(_, c)| matches!(c, CloudCall::Delete(m) if m.len() == 5)));
+}
+
 #[test]
 fn where_nobody_is_heard_nobody_is_returned_as_silent() {
     let mut rig = Rig::with_machines(&["vm-1", "vm-2b"]);
