Hand reports on at once for workers that the leader has stopped answering

Excluded: the limit of reports handed on at once (64) as the main cause, since the first 10 s have none; it now follows from the sockets like the other buffers. A worker whose report carries the present epoch was with the leader until now and left of its own accord: its report is handed on without sending it back first. The argument for handing on is unchanged (design.md). Buffers, reads under way and remembered final states now are ratios to the settings' sockets and memory.

--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -30,6 +30,7 @@
     Leaderless,
     Follows {
         leader: String,
+        epoch: u64,
     },
     /// Leads until then at least; afterwards nothing may be done in the
     /// epoch's name until it is extended.
@@ -119,7 +120,9 @@
     pub fn role(&self) -> Role {
         match &self.state {
             State::Leading { epoch, until, .. } => Role::Leads { epoch: *epoch, until: *until },
-            State::Following { holder } => Role::Follows { leader: holder.name.clone() },
+            State::Following { holder } => {
+                Role::Follows { leader: holder.name.clone(), epoch: holder.version }
+            }
             _ => Role::Leaderless,
         }
     }
@@ -337,7 +340,7 @@
     match (before, after) {
         (Role::Leads { epoch: a, .. }, Role::Leads { epoch: b, .. }) if a == b => {}
         (_, Role::Leads { epoch, .. }) => tracing::info!(epoch, "leads"),
-        (_, Role::Follows { leader }) => tracing::info!(%leader, "follows"),
+        (_, Role::Follows { leader, .. }) => tracing::info!(%leader, "follows"),
         (_, Role::Leaderless) => tracing::info!("nobody known to lead"),
     }
 }
@@ -482,7 +485,7 @@
         let mut e = leading(start);
         e.on_renew(late, late, RenewOutcome::Renewed);
         e.on_read(late, Ok(Some(holder_of("c-1", "other", 41, 6))));
-        assert_eq!(e.role(), Role::Follows { leader: "c-1".into() });
+        assert_eq!(e.role(), Role::Follows { leader: "c-1".into(), epoch: 41 });
     }
 
     #[test]
@@ -553,12 +556,16 @@
         let mut e = Election::new("c-0", "mine", TTL);
         e.on_read(now, Ok(Some(holder_of("c-1", "x", 41, 6))));
         e.on_watch(now + TTL, Err(()));
-        assert_eq!(e.role(), Role::Follows { leader: "c-1".into() }, "a short outage costs nothing");
+        assert_eq!(
+            e.role(),
+            Role::Follows { leader: "c-1".into(), epoch: 41 },
+            "a short outage costs nothing"
+        );
         e.on_read(now + TTL * 2, Err(()));
         assert_eq!(e.role(), Role::Leaderless);
         assert!(matches!(e.next(now + TTL * 2), Step::Wait { .. }), "and it is not asked without a pause");
         e.on_read(now + TTL * 3, Ok(Some(holder_of("c-2", "y", 45, 7))));
-        assert_eq!(e.role(), Role::Follows { leader: "c-2".into() });
+        assert_eq!(e.role(), Role::Follows { leader: "c-2".into(), epoch: 45 });
     }
 
     #[test]
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -21,6 +21,7 @@
 use crate::protocol::jobs::{JobId, JobSpec, JobStatus};
 use crate::protocol::workers::{Report, direct_orders, report_answer, report_elsewhere};
 use crate::protocol::{BODY_LIMIT, HEAD_LIMIT};
+use crate::settings::Limits as Quota;
 use crate::storage::records::{JobRecord, record_key};
 use crate::storage::service::{Class, Store, StoreError};
 use crate::transport::client::{Call, Prepared};
@@ -28,18 +29,39 @@
 use crate::transport::peer::{PeerCall, PeerHandler, PeerLink, PeerReply};
 use crate::transport::server::Handler;
 
-/// Requests of users waiting for the actor; more are refused at once.
-const USER_BUFFER: usize = 64;
-/// Reports waiting for the actor.
-const REPORT_BUFFER: usize = 128;
-/// Reads for users under way at once.
-const LOOKUPS: usize = 32;
-/// Orders being sent straight to workers at once.
-const DIRECTS: usize = 8;
-/// Workers' reports being handed on to the leader at once.
-const RELAYS: usize = 64;
-/// Final standings kept in memory: they never change.
-const FINALS: usize = 2048;
+/// How much of each kind there may be at once, by the sockets and the memory
+/// that the settings give: they grow with the fleet, and so does what comes
+/// together.
+#[derive(Debug, Clone, Copy)]
+struct Sizes {
+    /// Requests of users waiting for the actor; more are refused at once.
+    users: usize,
+    /// Reports waiting for the actor.
+    reports: usize,
+    /// Reads for users under way.
+    lookups: usize,
+    /// Orders being sent straight to workers.
+    directs: usize,
+    /// Workers' reports being handed on to the leader.
+    relays: usize,
+    /// Final standings kept in memory: they never change.
+    finals: usize,
+}
+
+impl Sizes {
+    fn new(quota: &Quota) -> Self {
+        let part = |ratio: usize, least: usize| (quota.max_connections / ratio).max(least);
+        Sizes {
+            users: part(12, 32),
+            reports: part(6, 64),
+            lookups: part(24, 16),
+            directs: part(100, 8),
+            relays: part(8, 32),
+            finals: ((quota.memory_mb * 36.0) as usize).clamp(256, 65_536),
+        }
+    }
+}
+
 /// Longest that a user's request is pursued before it is given up. Users wait
 /// five seconds for a submission and two for a poll.
 const PATIENCE: Duration = Duration::from_millis(3000);
@@ -231,6 +253,7 @@
     lookups: usize,
     directs: usize,
     finals: Finals,
+    sizes: Sizes,
     inner: mpsc::Sender<Inner>,
     last_led: Instant,
     logged_at: Instant,
@@ -243,15 +266,19 @@
 
 /// Final standings, bounded: two generations, the older dropped when the
 /// younger is full.
-#[derive(Default)]
 struct Finals {
     young: HashMap<JobId, JobStatus>,
     old: HashMap<JobId, JobStatus>,
+    most: usize,
 }
 
 impl Finals {
+    fn new(most: usize) -> Self {
+        Finals { young: HashMap::new(), old: HashMap::new(), most }
+    }
+
     fn insert(&mut self, status: JobStatus) {
-        if self.young.len() >= FINALS / 2 {
+        if self.young.len() >= self.most / 2 {
             self.old = std::mem::take(&mut self.young);
         }
         self.young.insert(status.id.clone(), status);
@@ -278,8 +305,9 @@
         abandoned: watch::Sender<u64>,
         roles: mpsc::Receiver<Role>,
     ) -> (Self, Inputs, Front) {
-        let (users_in, users) = mpsc::channel(USER_BUFFER);
-        let (reports_in, reports) = mpsc::channel(REPORT_BUFFER);
+        let sizes = Sizes::new(&config.settings.cluster.limits);
+        let (users_in, users) = mpsc::channel(sizes.users);
+        let (reports_in, reports) = mpsc::channel(sizes.reports);
         let (inner_in, inner) = mpsc::channel(256);
         let (ready, is_ready) = watch::channel(false);
         let mut links = HashMap::new();
@@ -309,7 +337,8 @@
             next_reply: 0,
             lookups: 0,
             directs: 0,
-            finals: Finals::default(),
+            finals: Finals::new(sizes.finals),
+            sizes,
             inner: inner_in,
             last_led: now,
             logged_at: now,
@@ -549,10 +578,10 @@
 
     /// The leader, if it is another: as the state service says or, without it,
     /// as the others say.
-    fn other_leader(&self, now: Instant) -> Option<&str> {
+    fn other_leader(&self, now: Instant) -> Option<(&str, u64)> {
         match &self.role {
-            Role::Follows { leader } => Some(leader),
-            _ => self.peers.leading(now).map(|(name, _)| name),
+            Role::Follows { leader, epoch } => Some((leader, *epoch)),
+            _ => self.peers.leading(now),
         }
     }
 
@@ -593,7 +622,10 @@
     /// answer that takes too long the worker drops, as it would any other.
     fn send_elsewhere(&mut self, now: Instant, message: ReportMessage) {
         let ReportMessage { report, body, reply, arrived } = message;
-        let leader = self.other_leader(now).map(str::to_owned);
+        let (leader, epoch) = match self.other_leader(now) {
+            Some((leader, epoch)) => (Some(leader.to_owned()), epoch),
+            None => (None, 0),
+        };
         let way = leader.as_ref().filter(|name| self.peers.reachable(now, name));
         let link = way.and_then(|name| self.links.get(name)).cloned();
         let elsewhere = |name: Option<&str>| Answer::new(421, &report_elsewhere(name));
@@ -602,11 +634,20 @@
             let _ = reply.send(elsewhere(None));
             return;
         };
-        let direct = self.detours.judge(now, &report.machine) == Detour::Redirect;
-        if direct || self.relaying >= RELAYS {
-            let _ = reply.send(elsewhere(Some(&leader)));
-            return self.statistics.report(arrived);
-        }
+        let named = match self.detours.judge(now, &report.machine, report.token == epoch) {
+            Detour::Redirect => Some(leader.as_str()),
+            // More than can be handed on at once: it asks again, here or there,
+            // rather than wait for one that does not answer it.
+            Detour::Relay if self.relaying >= self.sizes.relays => None,
+            Detour::Relay => {
+                return self.relay(link, leader, body, reply);
+            }
+        };
+        let _ = reply.send(elsewhere(named));
+        self.statistics.report(arrived);
+    }
+
+    fn relay(&mut self, link: PeerLink, leader: String, body: Vec<u8>, reply: oneshot::Sender<Answer>) {
         self.relaying += 1;
         let inner = self.inner.clone();
         tokio::spawn(async move {
@@ -614,7 +655,7 @@
             let silent = relayed.is_none().then_some(leader);
             let answer = match relayed {
                 Some(PeerReply { status, body, .. }) => Answer { status, body, retry_after_s: None },
-                None => elsewhere(None),
+                None => Answer::new(421, &report_elsewhere(None)),
             };
             let _ = reply.send(answer);
             let _ = inner.send(Inner::Relayed { silent }).await;
@@ -628,7 +669,7 @@
                 Some((leader, _)) => format!("leaderless, {leader} says that it leads"),
                 None => "leaderless".to_owned(),
             },
-            Role::Follows { leader } => format!("follows {leader}"),
+            Role::Follows { leader, .. } => format!("follows {leader}"),
             Role::Leads { .. } => "leads".to_owned(),
         };
         let figures = MapBuilder::new().set("name", self.config.settings.name.as_str()).set("role", role);
@@ -752,9 +793,8 @@
     /// The ways to the leader, the best first, at most two. `true`: through a
     /// controller that is to hand the call on.
     fn ways(&self, now: Instant, origin: Origin) -> Vec<(String, PeerLink, bool)> {
-        let Some(leader) = self.other_leader(now).filter(|_| origin != Origin::Peer) else {
-            return Vec::new();
-        };
+        let leader = self.other_leader(now).filter(|_| origin != Origin::Peer);
+        let Some((leader, _)) = leader else { return Vec::new() };
         let mut names = Vec::new();
         let reachable = self.peers.reachable(now, leader);
         let relays = if origin == Origin::User { self.peers.relays(now, leader) } else { Vec::new() };
@@ -782,7 +822,7 @@
     }
 
     fn read_record(&mut self, reply: Reply, job: JobId, otherwise: Answer, only_final: bool) {
-        if self.lookups >= LOOKUPS {
+        if self.lookups >= self.sizes.lookups {
             let _ = reply.send(Answer::later(503, "too many requests at once", 1));
             return;
         }
@@ -846,7 +886,7 @@
                 }
                 Action::Direct { address, token, session, orders } => {
                     // Only a short cut: the same goes out with the next report.
-                    if self.directs >= DIRECTS {
+                    if self.directs >= self.sizes.directs {
                         continue;
                     }
                     self.directs += 1;
@@ -905,8 +945,8 @@
     /// The edge refuses at once: nobody is held while the buffer is full.
     #[tokio::test]
     async fn a_full_buffer_refuses_at_once_with_a_time_to_come_back() {
-        let (_node, _inputs, front) = rig().await;
-        for _ in 0..USER_BUFFER {
+        let (node, _inputs, front) = rig().await;
+        for _ in 0..node.sizes.users {
             let (reply, _) = oneshot::channel();
             assert!(front.users.try_send(UserMessage::Status { reply }).is_ok());
         }
@@ -944,7 +984,7 @@
             node.ways(now, origin).into_iter().map(|(name, _, relay)| (name, relay)).collect()
         };
         assert_eq!(ways(&node, Origin::User), [], "no leader is known");
-        node.role = Role::Follows { leader: "c-1".into() };
+        node.role = Role::Follows { leader: "c-1".into(), epoch: 7 };
         let (direct, relayed) = (("c-1".to_owned(), false), ("c-2".to_owned(), true));
         assert_eq!(ways(&node, Origin::User), [direct.clone(), relayed.clone()]);
         node.peers.silent(now, "c-1");
@@ -970,7 +1010,7 @@
         assert!(node.leader.is_some(), "an earlier epoch is no news");
         node.peer_answered(now, "c-1", Some(Stance::Leads(41)));
         assert!(node.leader.is_none());
-        assert_eq!(node.other_leader(now), Some("c-1"));
+        assert_eq!(node.other_leader(now), Some(("c-1", 41)));
         node.tick();
         assert!(*node.ready.borrow(), "it can serve users again, through the leader");
     }
@@ -980,7 +1020,7 @@
     #[tokio::test]
     async fn reports_of_workers_that_come_back_are_handed_on_once() {
         let (mut node, _inputs, _front) = rig().await;
-        node.role = Role::Follows { leader: "c-1".into() };
+        node.role = Role::Follows { leader: "c-1".into(), epoch: 7 };
         let report = Report {
             machine: crate::protocol::workers::MachineId::parse("vm-1").expect("valid"),
             address: String::new(),
@@ -1011,13 +1051,23 @@
         assert_eq!(node.relaying, 0);
         let _again = send(&mut node, Some(Vec::new()));
         assert_eq!(node.relaying, 1, "it came back");
+        // One that was with the leader until now is not sent back there first.
+        let stayed = Report {
+            machine: crate::protocol::workers::MachineId::parse("vm-2").expect("valid"),
+            token: 7,
+            ..report.clone()
+        };
+        let (reply, _answer) = oneshot::channel();
+        let body = Some(Vec::new());
+        node.take_report(ReportMessage { report: stayed, body, reply, arrived: Instant::now() });
+        assert_eq!(node.relaying, 2, "at once");
         // What cannot be reached from here is not named either.
         node.peers.silent(Instant::now(), "c-1");
         let lost = send(&mut node, Some(Vec::new())).await.expect("answered at once");
         assert_eq!(named(lost), (421, None));
         // A new leader: the way to it may be open.
         node.peers.answered(Instant::now(), "c-1", Some(Stance::Free));
-        node.take_role(Role::Follows { leader: "c-2".into() });
+        node.take_role(Role::Follows { leader: "c-2".into(), epoch: 7 });
         let next = send(&mut node, Some(Vec::new())).await.expect("answered");
         assert_eq!(named(next), (421, Some("c-2".into())));
     }
@@ -1035,7 +1085,7 @@
         (write.conditions, write.changes) = (Vec::new(), vec![change]);
         assert!(node.store.commit(write).await.is_ok());
         // Nothing listens where the other two controllers are said to be.
-        node.role = Role::Follows { leader: "c-1".into() };
+        node.role = Role::Follows { leader: "c-1".into(), epoch: 7 };
         let (reply, answer) = oneshot::channel();
         node.take_user(PeerCall::Poll("job-1".into()), reply, Origin::User);
         tokio::pin!(answer);
--- a/src/coordination/peers.rs
+++ b/src/coordination/peers.rs
@@ -176,7 +176,10 @@
         self.sent.clear();
     }
 
-    pub fn judge(&mut self, now: Instant, worker: &MachineId) -> Detour {
+    /// `came_from`: the worker has had an answer of the present leader. It left of
+    /// its own accord, as workers only do when that answers no more, so sending
+    /// it back there would cost it one more wait for nothing.
+    pub fn judge(&mut self, now: Instant, worker: &MachineId, came_from: bool) -> Detour {
         if self.sent.len() >= Self::MOST {
             let lease = self.lease;
             self.sent.retain(|_, s| now < s.redirected_at + lease);
@@ -184,6 +187,7 @@
         let room = self.sent.len() < Self::MOST;
         let known = self.sent.get_mut(worker);
         let redirect = Sent { redirected_at: now, relaying_since: None };
+        let begin = Sent { relaying_since: came_from.then_some(now), ..redirect };
         match known {
             // Back so soon, it did not get through. For a lease its reports are
             // handed on; then it is to try again.
@@ -193,12 +197,13 @@
                     return Detour::Relay;
                 }
                 *s = redirect;
+                return Detour::Redirect;
             }
-            Some(s) => *s = redirect,
-            None if room => drop(self.sent.insert(worker.clone(), redirect)),
+            Some(s) => *s = begin,
+            None if room => drop(self.sent.insert(worker.clone(), begin)),
             None => {}
         }
-        Detour::Redirect
+        if came_from { Detour::Relay } else { Detour::Redirect }
     }
 }
 
@@ -260,13 +265,22 @@
         let now = Instant::now();
         let worker = MachineId::parse("vm-1").expect("valid");
         let mut detours = Detours::new(TTL);
-        assert_eq!(detours.judge(now, &worker), Detour::Redirect);
-        assert_eq!(detours.judge(now + TTL / 4, &worker), Detour::Relay);
-        assert_eq!(detours.judge(now + TTL, &worker), Detour::Relay, "it stays with whom answers it");
-        assert_eq!(detours.judge(now + TTL * 5 / 4, &worker), Detour::Redirect);
-        assert_eq!(detours.judge(now + TTL * 3, &worker), Detour::Redirect, "it got through meanwhile");
+        assert_eq!(detours.judge(now, &worker, false), Detour::Redirect);
+        assert_eq!(detours.judge(now + TTL / 4, &worker, false), Detour::Relay);
+        assert_eq!(detours.judge(now + TTL, &worker, false), Detour::Relay, "it stays with whom answers it");
+        assert_eq!(detours.judge(now + TTL * 5 / 4, &worker, false), Detour::Redirect);
+        assert_eq!(
+            detours.judge(now + TTL * 3, &worker, false),
+            Detour::Redirect,
+            "it got through meanwhile"
+        );
+        // One that was with the leader until now does not get through to it.
+        assert_eq!(detours.judge(now + TTL * 6, &worker, true), Detour::Relay);
+        assert_eq!(detours.judge(now + TTL * 27 / 4, &worker, true), Detour::Relay);
+        assert_eq!(detours.judge(now + TTL * 15 / 2, &worker, true), Detour::Redirect, "it is to try again");
+        assert_eq!(detours.judge(now + TTL * 31 / 4, &worker, true), Detour::Relay, "and came back");
         detours.clear();
-        assert_eq!(detours.judge(now + TTL * 3, &worker), Detour::Redirect, "to the new leader");
+        assert_eq!(detours.judge(now + TTL * 3, &worker, false), Detour::Redirect, "to the new leader");
     }
 
     #[test]
