--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -143,11 +143,16 @@
 /// If most of all machines are silent, the fault is taken to be on this side: a
 /// leader that loses its workers hears of them again one by one, and the first
 /// few must not make the others seem dead. If nobody is heard at all, nothing
-/// follows.
+/// follows. Where all but a few have been heard for a while, a missed report is
+/// enough: what was lost starts elsewhere the sooner.
 struct Silence {
     now: Instant,
     /// Since when this leader could have heard anybody.
     since: Instant,
+    /// Whether all but a few are heard, and have been for a while.
+    clear: bool,
+    /// When the next report of a machine is surely overdue.
+    overdue: Duration,
     silence: Duration,
     lease: Duration,
     /// Machines that are up, and those heard of, by zone.
@@ -162,7 +167,12 @@
     /// Nothing is to be expected of it for now.
     fn is_silent(&self, m: &Machine) -> bool {
         let (up, heard) = self.zones.values().fold((0, 0), |sum, zone| (sum.0 + zone.0, sum.1 + zone.1));
-        self.lasts(m, if most(heard, up) { self.silence } else { self.lease }) && heard > 0
+        let patience = match most(heard, up) {
+            true if self.clear => self.overdue,
+            true => self.silence,
+            false => self.lease,
+        };
+        self.lasts(m, patience) && heard > 0
     }
 
     /// It is not coming back: to be returned.
@@ -570,6 +580,7 @@
             self.experience_at = now;
             self.write_experience(now);
         }
+        self.note_silence(now);
         let wanted = self.rent(now);
         for m in self.machines.values_mut() {
             m.wanted = wanted.contains(&m.id);
@@ -701,9 +712,13 @@
     }
 
     fn silence(&self, now: Instant) -> Silence {
+        // A report may come a quarter late, and its packets a little more.
+        let overdue = self.config.settings.cluster.workers.report().mul_f64(1.6);
         let mut found = Silence {
             now,
             since: self.since,
+            clear: self.clear_since.is_some_and(|at| now >= at + overdue),
+            overdue: overdue.min(self.config.tuning.silence),
             silence: self.config.tuning.silence,
             lease: self.config.settings.cluster.workers.lease(),
             zones: HashMap::new(),
@@ -717,6 +732,18 @@
         found
     }
 
+    /// Notes since when all but a few machines have been heard in time.
+    fn note_silence(&mut self, now: Instant) {
+        let silence = self.silence(now);
+        let up = self.machines.values().filter(|m| m.phase == Phase::Up);
+        let late = up.clone().filter(|m| silence.lasts(m, silence.overdue)).count();
+        if late * 10 > up.count() {
+            self.clear_since = None;
+        } else {
+            self.clear_since.get_or_insert(now);
+        }
+    }
+
     /// Covers every group's need with machines, the cheapest first, and rents
     /// what is missing. Returns the machines that are wanted.
     fn rent(&mut self, now: Instant) -> HashSet<MachineId> {
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -183,6 +183,8 @@
     pub(super) spot_losses: f64,
     pub(super) spot_seconds: f64,
     pub(super) backoff: HashMap<(usize, String, bool), Backoff>,
+    /// Since when all but a few machines have been heard in time.
+    pub(super) clear_since: Option<Instant>,
     pub(super) listing: Option<ListRound>,
     pub(super) listed_at: Option<Instant>,
     pub(super) cloud_failed_at: Option<Instant>,
@@ -252,6 +254,7 @@
             spot_losses: 0.0,
             spot_seconds: 0.0,
             backoff: HashMap::new(),
+            clear_since: None,
             listing: None,
             listed_at: None,
             cloud_failed_at: None,
--- a/src/coordination/tests.rs
+++ b/src/coordination/tests.rs
@@ -1106,6 +1106,35 @@
     assert!(rig.cloud.iter().any(|(_, c)| matches!(c, CloudCall::Delete(m) if m.len() == 5)));
 }
 
+/// What a lost machine held starts elsewhere as soon as its report is surely
+/// overdue; but only where no more than a few are, for others may be behind a
+/// cut, on their way round it.
+#[test]
+fn one_overdue_report_is_enough_only_while_the_others_are_heard() {
+    let names: Vec<String> = (0..20).map(|n| format!("vm-{n}")).collect();
+    for lost in [1, 5] {
+        let mut rig = Rig::with_machines(&names.iter().map(String::as_str).collect::<Vec<_>>());
+        rig.accept(sample("job-1", "blue", 20, 8.0));
+        for name in &names {
+            assert_eq!(starts(&rig.beat(name, 5, EPOCH, vec![])).len(), 1);
+        }
+        rig.cloud.clear();
+        let returned = |rig: &Rig| rig.cloud.iter().any(|(_, c)| matches!(c, CloudCall::Delete(_)));
+        let workers = rig.config.settings.cluster.workers.clone();
+        let (begin, mut seq) = (rig.now, 5);
+        while !returned(&rig) {
+            rig.pass(1.0);
+            seq += 1;
+            for name in &names[lost..] {
+                rig.beat(name, seq, EPOCH, vec![]);
+            }
+            assert!(rig.now < begin + workers.lease(), "never returned");
+        }
+        let early = rig.now < begin + workers.report() * 3;
+        assert_eq!(early, lost == 1, "{lost} lost: {:?}", rig.now - begin);
+    }
+}
+
 #[test]
 fn where_nobody_is_heard_nobody_is_returned_as_silent() {
     let mut rig = Rig::with_machines(&["vm-1", "vm-2b"]);
