Let the leader's lease last an eighth of the workers' lease

Excluded: intake by any controller, as in design.md, 'Not taken'; refusals of the state service (none) and its slow answers, which four renewals a lease outlast.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -283,7 +283,7 @@
                 setting.name
             );
         }
-        assert_eq!(default.lease, Duration::from_secs(6));
+        assert_eq!(default.lease, Duration::from_millis(3750));
     }
 
     /// The examples of docs/operations.md.
