--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -713,13 +713,14 @@
 
     fn silence(&self, now: Instant) -> Silence {
         // A report may come a quarter late, and its packets a little more.
-        let overdue = self.config.settings.cluster.workers.report().mul_f64(1.6);
+        let silence = self.config.tuning.silence;
+        let overdue = self.config.settings.cluster.workers.report().mul_f64(1.6).max(silence * 2 / 3);
         let mut found = Silence {
             now,
             since: self.since,
             clear: self.clear_since.is_some_and(|at| now >= at + overdue),
-            overdue: overdue.min(self.config.tuning.silence),
-            silence: self.config.tuning.silence,
+            overdue: overdue.min(silence),
+            silence,
             lease: self.config.settings.cluster.workers.lease(),
             zones: HashMap::new(),
         };
--- a/src/coordination/tests.rs
+++ b/src/coordination/tests.rs
@@ -1130,7 +1130,7 @@
             }
             assert!(rig.now < begin + workers.lease(), "never returned");
         }
-        let early = rig.now < begin + workers.report() * 3;
+        let early = rig.now < begin + rig.config.tuning.silence;
         assert_eq!(early, lost == 1, "{lost} lost: {:?}", rig.now - begin);
     }
 }
