Pass over the queue and the fleet at the cost of what fits, not of all

Cause: a report of a machine with a little room left looked at every waiting job by name, and one of a machine not counted on added up the room of all machines for each of them; preemption looked for victims among all tasks before it asked whether any may be stopped. Excluded: the tick, which is in proportion to the fleet but some milliseconds a second. The queue carries what each job's tasks take and the least of it; room is looked for among machines that had some; what unheard machines may hold is counted once.

--- a/benches/hot_paths.rs
+++ b/benches/hot_paths.rs
@@ -50,9 +50,9 @@
 "#;
 
 const EPOCH: u64 = 7;
-const FLEETS: [usize; 3] = [50, 200, 700];
-/// Tasks on each machine.
-const EACH: usize = 4;
+const FLEETS: [usize; 3] = [50, 500, 2000];
+/// Tasks that fit on each machine, with a little room left.
+const EACH: usize = 3;
 
 struct World {
     leader: Leader,
@@ -74,7 +74,7 @@
         form: Form::Array,
         priority: Priority::High,
         tasks,
-        cpus: 2.0,
+        cpus: 2.5,
         gpus: 0.0,
         memory_gb: 1.0,
         image: "img-1".into(),
@@ -211,9 +211,11 @@
     });
     let mut world = World::new(machines);
     world.all_report();
-    // All full, and a backlog of twice as much.
-    for _ in 0..machines.div_ceil(10) {
-        world.submit((10 * EACH * 3) as u32);
+    // All full but for a rest that nothing fits in, and behind them a backlog of
+    // several times as much: on the largest fleet a thousand jobs with 34,000
+    // tasks.
+    for _ in 0..machines / 2 {
+        world.submit(40);
     }
     for _ in 0..3 {
         world.pass(1.1);
--- a/src/coordination/agents.rs
+++ b/src/coordination/agents.rs
@@ -104,12 +104,7 @@
             self.clear_slots(now, &report.machine);
         }
         self.take_tasks(now, report);
-        if let Some(m) = self.machines.get_mut(&report.machine)
-            && !m.known
-        {
-            m.known = true;
-            self.check_whole();
-        }
+        self.become_known(&report.machine);
         let mut orders = self.stops_and_reaps(report);
         self.mark_used(&report.machine);
         self.stop_for_notice(now, &report.machine);
@@ -467,10 +462,9 @@
             if let Some(m) = self.machines.get_mut(&machine) {
                 // A report that was held back may still list them.
                 m.least_session = m.seen.max(m.hinted).map_or(0, |(session, _)| session + 1);
-                m.known = true;
                 m.free = self.catalog.get(m.kind).map(Resources::of_type).unwrap_or_default();
             }
-            self.check_whole();
+            self.become_known(&machine);
         }
     }
 }
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -190,8 +190,13 @@
     pub(super) cloud_failed_at: Option<Instant>,
     pub(super) queue: Vec<Ranked>,
     pub(super) queue_at: Option<Instant>,
+    /// The least that any task in it takes: with less room, no job need be looked
+    /// at.
+    pub(super) least_cpus: f64,
     /// Machines that had room when the queue was last ordered.
     pub(super) roomy: Vec<MachineId>,
+    /// All the room of machines that may hold unknown tasks, counted then.
+    pub(super) unheard: Resources,
     /// Machines kept clear for jobs that must begin.
     pub(super) reserved: HashMap<JobId, MachineId>,
     pub(super) tickets: HashMap<u64, Ticket>,
@@ -260,7 +265,9 @@
             cloud_failed_at: None,
             queue: Vec::new(),
             queue_at: None,
+            least_cpus: 0.0,
             roomy: Vec::new(),
+            unheard: Resources::default(),
             reserved: HashMap::new(),
             tickets: HashMap::new(),
             next_ticket: 0,
@@ -751,6 +758,18 @@
         *ratio += (seen - *ratio) * 0.02;
     }
 
+    /// What is on the machine is known from now on.
+    pub(super) fn become_known(&mut self, machine: &MachineId) {
+        let Some(m) = self.machines.get_mut(machine).filter(|m| !m.known) else { return };
+        m.known = true;
+        let room = self.catalog.get(m.kind).map(Resources::of_type).unwrap_or_default();
+        // Counted anew with each ordering of the queue, and not below nothing.
+        if room.fits(&self.unheard) {
+            self.unheard.sub(&room);
+        }
+        self.check_whole();
+    }
+
     /// Whether all that may be on machines from before this epoch is known.
     pub(super) fn is_whole(&self) -> bool {
         self.machines.values().all(|m| m.known || !m.used)
--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -25,6 +25,10 @@
     guaranteed: bool,
     priority: Priority,
     due: Instant,
+    /// What a task takes, and whether it may go to spot machines: most of the
+    /// queue is passed over for a machine by these alone.
+    need: Resources,
+    spot: bool,
 }
 
 impl Ranked {
@@ -59,10 +63,21 @@
                 guaranteed: guaranteed.contains_key(j.id()),
                 priority: j.spec().priority,
                 due: self.latest_start(j, now),
+                need: Resources::of(j.spec()),
+                spot: j.spec().spot,
             })
             .collect();
         queue.sort_by(Ranked::order);
+        // A job that must begin may have a machine kept clear that is full now.
+        let least = |r: &Ranked| if r.starved { 0.0 } else { r.need.cpus };
+        self.least_cpus = queue.iter().map(least).fold(f64::INFINITY, f64::min);
         self.queue = queue;
+        // Machines are heard one after the other, and none becomes unheard: what
+        // was counted last is never too little.
+        self.unheard = Resources::default();
+        for m in self.machines.values().filter(|m| !self.was_whole && m.used && !m.known) {
+            self.unheard.add(&self.catalog.get(m.kind).map(Resources::of_type).unwrap_or_default());
+        }
         // One that has missed its time to report may be dead.
         let patience = self.config.settings.cluster.workers.report().mul_f64(1.5);
         let heard = |m: &Machine| m.heard.is_some_and(|h| now < h + patience);
@@ -117,12 +132,11 @@
 
     /// How long after its submission a job's tasks should have started, by each
     /// of the users' aims for its class and by its deadline.
-    pub(super) fn starts_aimed_at(&self, spec: &JobSpec) -> impl Iterator<Item = Duration> + use<'_> {
+    pub(super) fn starts_aimed_at<'a>(&'a self, spec: &'a JobSpec) -> impl Iterator<Item = Duration> + 'a {
         let run = self.expected_run(spec);
         let deadline = spec.deadline_s;
-        let class = spec.class.clone();
         let aims = self.config.settings.cluster.objectives.iter().filter_map(move |aim| {
-            if aim.class.as_ref().is_some_and(|c| *c != class) {
+            if aim.class.as_ref().is_some_and(|c| *c != spec.class) {
                 return None;
             }
             match (aim.kind.as_str(), aim.within_s, deadline) {
@@ -180,12 +194,17 @@
         }
         self.rank(now);
         let queue = std::mem::take(&mut self.queue);
+        let spot = self.machines.get(machine).is_some_and(|m| m.spot);
         let mut started = 0;
         for ranked in &queue {
             let room = self.machines.get(machine).map(|m| m.free).unwrap_or_default();
-            if started >= most || room.cpus < 1e-3 {
+            if started >= most || room.cpus < self.least_cpus.max(1e-3) - 1e-6 {
                 break;
             }
+            // One that must begin may have this machine kept clear for it.
+            if !ranked.starved && !(ranked.need.fits(&room) && (ranked.spot || !spot)) {
+                continue;
+            }
             while started < most && self.may_start(now, ranked, machine) {
                 let whole = self.was_whole;
                 let Some(job) = self.jobs.get_mut(&ranked.job) else { break };
@@ -257,7 +276,7 @@
         let pending = j.pending();
         // A machine that no demand counts on is left to run empty while the
         // others have room for all that waits.
-        if !m.wanted && self.room_on_wanted(j) >= pending {
+        if !m.wanted && self.has_room_on_wanted(j) {
             return false;
         }
         let report = self.config.settings.cluster.workers.report();
@@ -304,14 +323,20 @@
         (found, share * self.roomy.len() as f64)
     }
 
-    /// How many of the job's tasks fit on machines that demand counts on.
-    fn room_on_wanted(&self, job: &Job) -> u32 {
+    /// Whether all that waits of the job fits on machines that demand counts on,
+    /// of those that had room when the queue was last ordered.
+    fn has_room_on_wanted(&self, job: &Job) -> bool {
         let need = Resources::of(job.spec());
-        self.machines
-            .values()
-            .filter(|m| m.wanted && !m.doubted && self.eligible(job, m))
-            .map(|m| need.times_in(&m.free))
-            .fold(0, u32::saturating_add)
+        let mut left = job.pending();
+        for m in self.roomy.iter().filter_map(|id| self.machines.get(id)) {
+            if m.wanted && need.fits(&m.free) && !m.doubted && self.eligible(job, m) {
+                left = left.saturating_sub(need.times_in(&m.free));
+                if left == 0 {
+                    return true;
+                }
+            }
+        }
+        false
     }
 
     /// Whether a task of a new job could start now.
@@ -389,11 +414,7 @@
         let mut used = team.used;
         if !self.was_whole {
             // What is on unheard machines may all be this team's.
-            for machine in self.machines.values().filter(|m| m.used && !m.known) {
-                if let Some(kind) = self.catalog.get(machine.kind) {
-                    used.add(&Resources::of_type(kind));
-                }
-            }
+            used.add(&self.unheard);
         }
         used.add(&Resources::of(job.spec()));
         used.fits(&team.limit)
@@ -457,6 +478,14 @@
             if !(lower || borrowed) || now < job.submitted + report.mul_f64(0.5) || !self.team_has_room(job) {
                 continue;
             }
+            let patient = now >= job.submitted + report.mul_f64(1.5);
+            // Room comes free by itself all the time: what is stopped is lost
+            // only for an aim that would be missed otherwise.
+            let pressing = ranked.due <= now + report.mul_f64(2.5);
+            // Looking for those who could give way is dear.
+            if !((lower && pressing) || (borrowed && patient)) {
+                continue;
+            }
             let need = Resources::of(job.spec());
             // Room that is there, or is being made, comes first.
             let free: u32 = self
@@ -472,10 +501,6 @@
                 continue;
             }
             let tuning = &self.config.tuning;
-            let patient = now >= job.submitted + report.mul_f64(1.5);
-            // Room comes free by itself all the time: what is stopped is lost
-            // only for an aim that would be missed otherwise.
-            let pressing = ranked.due <= now + report.mul_f64(2.5);
             let mut given: HashMap<usize, Resources> = HashMap::new();
             for (machine, key, loss, lower) in self.victims(now, ranked, job, &over) {
                 if missing == 0 {
@@ -526,6 +551,9 @@
         let mut found = Vec::new();
         for machine in self.machines.values().filter(|m| m.open() && self.may_use(job.spec(), m)) {
             for (key, slot) in &machine.slots {
+                if slot.stop.is_some() || slot.room.cpus < need.cpus {
+                    continue;
+                }
                 let Some(victim) = self.jobs.get(&key.0) else { continue };
                 let borrowed = slot.team != job.team && slot.team.is_some_and(|t| over[t]);
                 let lower = victim.spec().priority < ranked.priority;
@@ -534,7 +562,7 @@
                 let first = victim.active.len() == 1
                     && victim.record.done.is_empty()
                     && now >= victim.submitted + self.config.tuning.begin_within / 2;
-                if !may || first || slot.stop.is_some() || victim.is_service() || slot.room.cpus < need.cpus {
+                if !may || first || victim.is_service() {
                     continue;
                 }
                 found.push((
