Be not ready as a follower that cannot reach the leader for a lease

Excluded: intake by any controller, since users can simply be with the leader: it is acceptable for only some controllers to be ready. A follower whose calls get through by no way says so once the leader would have lost its lease if it were dead, asks it meanwhile whether it leads, and is ready again with the first answer. Within the lease it stays ready: after a crash of the leader all would be out of service for longer than the gap.

--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -128,6 +128,8 @@
     PeerSilent {
         peer: String,
     },
+    /// Whether a user's call got through to the leader by any way.
+    LeaderReached(bool),
     /// A report was handed on; `silent`: in vain.
     Relayed {
         silent: Option<String>,
@@ -240,6 +242,8 @@
     links: HashMap<String, PeerLink>,
     peers: Peers,
     detours: Detours,
+    /// Since when no user's call has got through to the leader.
+    unreached: Option<Instant>,
     /// Reports being handed on.
     relaying: usize,
     role: Role,
@@ -327,6 +331,7 @@
             links,
             peers,
             detours,
+            unreached: None,
             relaying: 0,
             role: Role::Leaderless,
             leads,
@@ -400,6 +405,7 @@
         }
         if self.role != role {
             self.detours.clear();
+            self.unreached = None;
         }
         self.role = role;
     }
@@ -475,6 +481,8 @@
             Inner::DirectDone => self.directs -= 1,
             Inner::PeerAnswered { peer, stance } => self.peer_answered(now, &peer, stance),
             Inner::PeerSilent { peer } => self.peers.silent(now, &peer),
+            Inner::LeaderReached(true) => self.unreached = None,
+            Inner::LeaderReached(false) => drop(self.unreached.get_or_insert(now)),
             Inner::Relayed { silent } => {
                 self.relaying -= 1;
                 if let Some(peer) = silent {
@@ -510,13 +518,17 @@
         }
         let leads = self.leader.as_ref().is_some_and(|l| l.valid(now));
         let follows = matches!(self.role, Role::Follows { .. });
-        if leads || follows {
+        let unreached = follows && self.unreached.is_some();
+        if (leads || follows) && !unreached {
             self.peers.rest();
         }
-        if !(leads || follows) || self.leader.as_ref().is_some_and(Leader::awaits_graces) {
+        if !(leads || follows) || unreached || self.leader.as_ref().is_some_and(Leader::awaits_graces) {
             self.ask_peers(now);
         }
-        let known = leads || follows || self.peers.leading(now).is_some();
+        // A leader that nobody here can reach, for longer than it would lead if it
+        // were dead: users are better off with the controller that does.
+        let lost = follows && self.unreached.is_some_and(|at| now >= at + self.config.tuning.lease);
+        let known = leads || (follows && !lost) || self.peers.leading(now).is_some();
         if known {
             self.last_led = now;
         }
@@ -524,7 +536,7 @@
         // short one is not worth it; being cut off from all others is.
         let lease = self.config.settings.cluster.workers.lease();
         let hopes = *self.ready.borrow() && now < self.last_led + lease * 2 && !self.peers.cut_off(now);
-        let ready = known || hopes;
+        let ready = known || (hopes && !lost);
         self.ready.send_if_modified(|before| std::mem::replace(before, ready) != ready);
         if now > self.logged_at + LOG_INTERVAL {
             self.logged_at = now;
@@ -559,6 +571,9 @@
 
     fn peer_answered(&mut self, now: Instant, peer: &str, stance: Option<Stance>) {
         self.peers.answered(now, peer, stance);
+        if stance.is_some() && self.other_leader(now).is_some_and(|(leader, _)| leader == peer) {
+            self.unreached = None;
+        }
         // Nobody else answers workers any more: the wait for silent machines
         // need not cover a grace.
         let listed = self.links.len() + 1 >= self.config.settings.cluster.size as usize;
@@ -772,17 +787,21 @@
             }
             return;
         }
-        let inner = self.inner.clone();
+        let (inner, unreached) = (self.inner.clone(), self.unreached.is_some());
         let patience = POLL_PATIENCE / ways.len() as u32;
         tokio::spawn(async move {
             for (peer, link, relay) in ways {
                 let answer = link.call(call.clone(), relay, patience).await;
                 if let Some(PeerReply { status, body, retry_after_s }) = answer {
                     let _ = reply.send(Answer { status, body, retry_after_s });
+                    if unreached {
+                        let _ = inner.send(Inner::LeaderReached(true)).await;
+                    }
                     return;
                 }
                 let _ = inner.send(Inner::PeerSilent { peer }).await;
             }
+            let _ = inner.send(Inner::LeaderReached(false)).await;
             match poll.filter(|_| origin == Origin::User) {
                 Some(job) => drop(inner.send(Inner::Unanswered { reply, job }).await),
                 None => drop(reply.send(Answer::later(503, "the leader did not answer", 1))),
@@ -995,6 +1014,29 @@
         assert_eq!(ways(&node, Origin::User), [direct], "what else is there to try");
     }
 
+    /// Controllers that refuse each other: a follower that cannot reach the leader
+    /// by any way can accept nothing. It says so, once the leader would have lost
+    /// its lease if it were dead, and users turn to the one that can.
+    #[tokio::test]
+    async fn a_follower_that_cannot_reach_the_leader_is_not_ready() {
+        let (mut node, _inputs, _front) = rig().await;
+        node.take_role(Role::Follows { leader: "c-1".into(), epoch: 7 });
+        node.tick();
+        assert!(*node.ready.borrow());
+        node.take_inner(Inner::LeaderReached(false));
+        node.tick();
+        assert!(*node.ready.borrow(), "a leader that has just died is followed by another soon");
+        node.unreached = Instant::now().checked_sub(node.config.tuning.lease);
+        node.tick();
+        assert!(!*node.ready.borrow());
+        node.peer_answered(Instant::now(), "c-2", Some(Stance::Free));
+        node.tick();
+        assert!(!*node.ready.borrow(), "another that can be reached is of no use by itself");
+        node.peer_answered(Instant::now(), "c-1", Some(Stance::Leads(7)));
+        node.tick();
+        assert!(*node.ready.borrow());
+    }
+
     /// A leader cut off from the state service alone: its grace ends, and its
     /// workers are sent to the new leader, as soon as that one is heard of.
     #[tokio::test]
