Stop at a spot notice what cannot end before the machine is taken

A task without checkpoints ran on until its machine was taken and for some 8 s more until that was known, though seven of ten losses are announced 15 s before. Excluded: waiting for room (the late jobs all began within 10 s of their first task) and processor time. Whatever cannot end in the time left, by the run times of the job's own ended tasks or the corrected estimate, is stopped at the notice and starts elsewhere at once.

--- a/src/coordination/agents.rs
+++ b/src/coordination/agents.rs
@@ -399,8 +399,10 @@
         }
     }
 
-    /// What can be saved before the cloud takes the machine is saved now;
-    /// what cannot be saved may still finish in time.
+    /// What can be saved before the cloud takes the machine is saved now. What
+    /// cannot be saved may still finish in time; what will not is stopped at once,
+    /// since its work is lost anyway, and it starts elsewhere that much sooner
+    /// than once the machine has been taken and is known to be gone.
     fn stop_for_notice(&mut self, now: Instant, machine: &MachineId) {
         let Some(m) = self.machines.get(machine) else { return };
         let Some(taken_at) = m.taken_at else { return };
@@ -411,7 +413,12 @@
             let spec = job.spec();
             let saves = spec.checkpoint_s > 0.0 && slot.state == SlotState::Running && spec.save_s < left;
             let waits = matches!(slot.state, SlotState::Sent { .. } | SlotState::Fetching);
-            if slot.stop.is_none() && (saves || waits) {
+            let ran = now.saturating_duration_since(slot.since).as_secs_f64();
+            let run = job.proven_run().unwrap_or_else(|| self.expected_run(spec));
+            // Past the time that was named it may be taken at any moment, or later.
+            let ends_late = left > 0.0 && run - ran > left;
+            let in_vain = slot.state == SlotState::Running && !job.is_service() && ends_late;
+            if slot.stop.is_none() && (saves || waits || in_vain) {
                 stops.push((key.clone(), if saves { left } else { 0.0 }));
             }
         }
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -747,7 +747,9 @@
 
     pub(super) fn learn_run(&mut self, job: &JobId, seconds: f64) {
         const CLASSES: usize = 256;
-        let Some(spec) = self.jobs.get(job).map(Job::spec) else { return };
+        let Some(job) = self.jobs.get_mut(job) else { return };
+        job.note_run(seconds);
+        let spec = job.spec();
         if spec.estimate_s <= 0.0
             || (self.class_ratio.len() >= CLASSES && !self.class_ratio.contains_key(&spec.class))
         {
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -128,6 +128,8 @@
     /// The room that all its tasks asked for at once, when it entered the
     /// measured demand.
     pub offered: Option<f64>,
+    /// Run times of its tasks that have ended: how many, and in all.
+    runs: (u32, f64),
 }
 
 impl Job {
@@ -158,6 +160,7 @@
             hold_until: None,
             not_before: None,
             offered: None,
+            runs: (0, 0.0),
             record,
         }
     }
@@ -218,6 +221,15 @@
         (at < self.spec().tasks).then_some(at)
     }
 
+    pub fn note_run(&mut self, seconds: f64) {
+        self.runs = (self.runs.0.saturating_add(1), self.runs.1 + seconds);
+    }
+
+    /// How long its tasks have run so far, if any has ended.
+    pub fn proven_run(&self) -> Option<f64> {
+        (self.runs.0 > 0).then(|| self.runs.1 / f64::from(self.runs.0))
+    }
+
     pub fn is_service(&self) -> bool {
         self.spec().form == Form::Service
     }
--- a/src/coordination/tests.rs
+++ b/src/coordination/tests.rs
@@ -167,6 +167,18 @@
         seq: u64,
         token: u64,
         tasks: Vec<TaskReport>,
+    ) -> ReportReply {
+        self.report_with(name, session, seq, token, None, tasks)
+    }
+
+    fn report_with(
+        &mut self,
+        name: &str,
+        session: u64,
+        seq: u64,
+        token: u64,
+        notice_s: Option<f64>,
+        tasks: Vec<TaskReport>,
     ) -> ReportReply {
         let report = Report {
             machine: machine(name),
@@ -177,7 +189,7 @@
             session,
             seq,
             token,
-            notice_s: None,
+            notice_s,
             tasks,
         };
         let reply = self.leader.report(self.now, &report);
@@ -685,6 +697,31 @@
     assert!(list(&mut rig, vec![]), "twice, and silent: its deletion is asked for as proof");
 }
 
+/// A task that cannot save and cannot end before its machine is taken is lost
+/// either way: stopped at the notice, it starts elsewhere half a minute sooner
+/// than once the loss is noticed. One that can still end is left alone.
+#[test]
+fn at_a_notice_only_what_cannot_end_in_time_is_stopped() {
+    let mut rig = Rig::with_machines(&["vm-1"]);
+    for (job, estimate_s) in [("job-1", 100.0), ("job-2", 12.0)] {
+        let mut spec = sample(job, "blue", 1, 2.0);
+        (spec.estimate_s, spec.checkpoint_s) = (estimate_s, 0.0);
+        rig.accept(spec);
+    }
+    let held = starts(&rig.beat("vm-1", 2, EPOCH, vec![]));
+    assert_eq!(held.len(), 2);
+    let running = || held.iter().map(|s| listed(s, TaskState::Running)).collect::<Vec<_>>();
+    rig.beat("vm-1", 3, EPOCH, running());
+    rig.pass(5.0);
+    rig.report_with("vm-1", 1, 4, EPOCH, Some(15.0), running());
+    let stopped: Vec<_> = rig
+        .direct
+        .iter()
+        .map(|o| matches!(o, Order::Stop { task, grace_s, .. } if task.job == id("job-1") && *grace_s == 0.0))
+        .collect();
+    assert_eq!(stopped, [true], "{:?}", rig.direct);
+}
+
 #[test]
 fn a_deaf_machine_gets_few_starts_and_one_lost_answer_costs_nothing() {
     let mut rig = Rig::with_machines(&["vm-1", "vm-2b"]);
