Divide the sockets by need, and drop reports whose workers have left

What the leader needs itself grows less than the fleet: a sixteenth and 16 are kept for it. Idle connections end after two worker leases instead of four. Reports that waited as long as a worker waits are dropped unread, as after a stand-still.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -280,9 +280,9 @@
 
     let options = server::ServerOptions {
         limits: Limits { head: HEAD_LIMIT, body: BODY_LIMIT },
-        // The rest is for the outside systems and the other controllers.
-        connections: cluster.limits.max_connections * 4 / 5,
-        idle: cluster.workers.lease() * 4,
+        connections: cluster.limits.incoming(),
+        // A worker that has been silent for so long has no lease either.
+        idle: cluster.workers.lease() * 2,
         patience: cluster.workers.lease() / 4,
     };
     let peer_listen = settings.peer_listen;
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -19,7 +19,7 @@
 use super::statistics::Statistics;
 use crate::protocol::cbor::{Fields, Malformed, MapBuilder, decode, encode};
 use crate::protocol::jobs::{JobId, JobSpec, JobStatus};
-use crate::protocol::workers::{Report, direct_orders, report_answer, report_elsewhere};
+use crate::protocol::workers::{ANSWER_WITHIN, Report, direct_orders, report_answer, report_elsewhere};
 use crate::protocol::{BODY_LIMIT, HEAD_LIMIT};
 use crate::settings::Limits as Quota;
 use crate::storage::records::{JobRecord, record_key};
@@ -619,6 +619,11 @@
 
     fn take_report(&mut self, message: ReportMessage) {
         let now = Instant::now();
+        // Its worker has left: a start in the answer would be lost, and an answer
+        // counted as one would only put off the proof that the machine is gone.
+        if now >= message.arrived + ANSWER_WITHIN {
+            return;
+        }
         let reply = match &mut self.leader {
             Some(leader) => leader.report(now, &message.report),
             None => ReportReply::Elsewhere,
@@ -948,6 +953,21 @@
         Request { method: method.into(), target: target.into(), body: body.to_vec(), close: false }
     }
 
+    fn report(token: u64) -> Report {
+        Report {
+            machine: crate::protocol::workers::MachineId::parse("vm-1").expect("valid"),
+            address: String::new(),
+            machine_type: "m8".into(),
+            zone: "z1".into(),
+            spot: false,
+            session: 1,
+            seq: 1,
+            token,
+            notice_s: None,
+            tasks: Vec::new(),
+        }
+    }
+
     async fn rig() -> (Node, Inputs, Front) {
         let world = StandIn::start(&[]).await;
         let mut settings = crate::settings::tests::sample();
@@ -1063,18 +1083,7 @@
     async fn reports_of_workers_that_come_back_are_handed_on_once() {
         let (mut node, _inputs, _front) = rig().await;
         node.role = Role::Follows { leader: "c-1".into(), epoch: 7 };
-        let report = Report {
-            machine: crate::protocol::workers::MachineId::parse("vm-1").expect("valid"),
-            address: String::new(),
-            machine_type: "m8".into(),
-            zone: "z1".into(),
-            spot: false,
-            session: 1,
-            seq: 1,
-            token: 1,
-            notice_s: None,
-            tasks: Vec::new(),
-        };
+        let report = report(1);
         let send = |node: &mut Node, body: Option<Vec<u8>>| {
             let (reply, answer) = oneshot::channel();
             node.take_report(ReportMessage { report: report.clone(), body, reply, arrived: Instant::now() });
@@ -1114,6 +1123,23 @@
         assert_eq!(named(next), (421, Some("c-2".into())));
     }
 
+    /// A controller that fell behind, or stood still, finds reports whose workers
+    /// have long turned elsewhere.
+    #[tokio::test]
+    async fn reports_that_waited_too_long_are_dropped_unread() {
+        let (mut node, _inputs, _front) = rig().await;
+        let now = Instant::now();
+        let mut leader = Leader::new(node.config.clone(), 40, now, 0, Loaded::default());
+        leader.extend(now, now + Duration::from_secs(60));
+        node.leader = Some(leader);
+        for (waited, answered) in [(Duration::ZERO, true), (ANSWER_WITHIN, false)] {
+            let (reply, answer) = oneshot::channel();
+            let arrived = now.checked_sub(waited).expect("a clock that has run for a while");
+            node.take_report(ReportMessage { report: report(1), body: None, reply, arrived });
+            assert_eq!(answer.await.is_ok(), answered);
+        }
+    }
+
     /// Nobody is forgotten: a follower whose leader cannot be reached, by any
     /// way, answers a poll from the record, within what a user waits.
     #[tokio::test]
--- a/src/protocol/workers.rs
+++ b/src/protocol/workers.rs
@@ -2,12 +2,16 @@
 
 use std::fmt;
 use std::sync::Arc;
+use std::time::Duration;
 
 use ciborium::value::Value;
 
 use super::cbor::{Fields, Malformed, MapBuilder};
 use super::jobs::TaskId;
 
+/// A worker has turned to another controller when an answer takes this long.
+pub const ANSWER_WITHIN: Duration = Duration::from_secs(4);
+
 /// Most tasks read from one report; a body of 64 KiB cannot hold more.
 const MAX_REPORTED: usize = 4096;
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -120,6 +120,17 @@
     pub max_connections: usize,
 }
 
+impl Limits {
+    /// Connections for workers, users and health checks: every worker of the
+    /// fleet holds one at the leader. The rest is for the state service, the cloud,
+    /// orders sent straight to workers and the other controllers, whose numbers
+    /// grow less than the fleet.
+    pub fn incoming(&self) -> usize {
+        let kept = self.max_connections / 16 + 16;
+        self.max_connections.saturating_sub(kept).max(self.max_connections / 2)
+    }
+}
+
 impl Workers {
     pub fn lease(&self) -> Duration {
         Duration::from_secs_f64(self.lease_s)
@@ -291,6 +302,13 @@
         Settings::parse(SAMPLE, Path::new("sample.toml")).expect("the sample is valid")
     }
 
+    /// Every machine of a large fleet holds a connection at the leader.
+    #[test]
+    fn most_sockets_are_for_workers_and_users() {
+        let incoming = |max_connections| Limits { max_connections, ..sample().cluster.limits }.incoming();
+        assert_eq!([16, 100, 800, 3200].map(incoming), [8, 78, 734, 2984]);
+    }
+
     #[test]
     fn errors_name_the_file_and_the_field() {
         let file = Path::new("s.toml");
