Ask nothing of the cloud under a lease that has ended

Cause: found in reading for what a controller that stood still may send when it wakes: requests wait for their turn in the cloud's actor, which did not know of the lease, so a deletion decided before could take machines that the next leader uses (no rule broken by it, but their work lost). Orders and answers look at the clock already; a test now shows it for late copies and repeats. Excluded: rentals, which carry recorded names and are asked again by the next leader. What waits when the lease ends is dropped; a leader that goes on asks anew.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -269,7 +269,8 @@
     let (leads, leading) = watch::channel(false);
     let store =
         service::start(settings.services.state, cluster.state.clone(), cluster.size, ttl / 6, leading);
-    let cloud = cloud::start(settings.services.cloud, cluster.cloud.rps, Duration::from_secs(4));
+    let (term, until) = watch::channel(tokio::time::Instant::now());
+    let cloud = cloud::start(settings.services.cloud, cluster.cloud.rps, Duration::from_secs(4), until);
     let incarnation = format!("{:016x}", rand::random::<u64>());
     tracing::info!(name = %settings.name, zone = %settings.zone, %incarnation, "starting");
     let election = Election::new(&settings.name, &incarnation, ttl);
@@ -287,7 +288,7 @@
     };
     let peer_listen = settings.peer_listen;
     let config = Arc::new(config);
-    let (node, inputs, front) = Node::new(config, store, cloud, leads, abandoned, roles);
+    let (node, inputs, front) = Node::new(config, store, cloud, leads, term, abandoned, roles);
     let peers = front.clone();
     tokio::spawn(async move {
         if let Err(error) = peer::serve(peer_listen, BODY_LIMIT, peers).await {
--- a/src/coordination/cloud.rs
+++ b/src/coordination/cloud.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
 
 use crate::protocol::cbor::{decode, encode};
@@ -67,8 +67,12 @@
     }
 }
 
-/// Starts the actor.
-pub fn start(address: SocketAddr, rate: f64, deadline: Duration) -> Cloud {
+/// Starts the actor. `term`: until when this controller leads.
+///
+/// Requests wait here for their turn, and a process may stand still while they
+/// do. What was decided under a lease that has ended since is not asked for: a
+/// late deletion would take machines that the next leader uses.
+pub fn start(address: SocketAddr, rate: f64, deadline: Duration, term: watch::Receiver<Instant>) -> Cloud {
     let (sender, mut inbox) = mpsc::channel::<Request>(32);
     let (done, mut finished) = mpsc::channel::<(Option<Connection>, Option<Option<u16>>)>(IN_FLIGHT);
     tokio::spawn(async move {
@@ -81,6 +85,11 @@
         loop {
             let now = Instant::now();
             let mut wait = Duration::from_secs(3600);
+            if now >= *term.borrow() {
+                for request in waiting.drain(..) {
+                    let _ = request.reply.send(Err(CloudError::Failed));
+                }
+            }
             while in_flight < IN_FLIGHT && !waiting.is_empty() {
                 if !bucket.allows(now, 1.0, 0.0) {
                     wait = bucket.wait(1.0, 0.0).max(Duration::from_millis(5));
@@ -163,3 +172,21 @@
     }
     .map_err(|_| CloudError::Failed)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A controller that stood still past its lease asks for nothing any more.
+    #[tokio::test]
+    async fn nothing_is_asked_of_the_cloud_once_the_lease_has_ended() {
+        let listener = std::net::TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+        listener.set_nonblocking(true).expect("a listener");
+        let address = listener.local_addr().expect("bound");
+        let (_term, until) = watch::channel(Instant::now());
+        let cloud = start(address, 10.0, Duration::from_secs(1), until);
+        let machine = MachineId::parse("vm-1").expect("valid");
+        assert_eq!(cloud.call(CloudCall::Delete(vec![machine])).await, Err(CloudError::Failed));
+        assert!(listener.accept().is_err(), "not even a connection was made");
+    }
+}
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -248,6 +248,8 @@
     relaying: usize,
     role: Role,
     leads: watch::Sender<bool>,
+    /// Until when it leads.
+    term: watch::Sender<Instant>,
     /// The last epoch given up before its lease ended.
     abandoned: watch::Sender<u64>,
     ready: watch::Sender<bool>,
@@ -306,6 +308,7 @@
         store: Store,
         cloud: Cloud,
         leads: watch::Sender<bool>,
+        term: watch::Sender<Instant>,
         abandoned: watch::Sender<u64>,
         roles: mpsc::Receiver<Role>,
     ) -> (Self, Inputs, Front) {
@@ -335,6 +338,7 @@
             relaying: 0,
             role: Role::Leaderless,
             leads,
+            term,
             abandoned,
             ready,
             leader: None,
@@ -394,6 +398,7 @@
                     let _ = self.leads.send(true);
                     self.load(*epoch);
                 }
+                let _ = self.term.send(*until);
                 if let Some(leader) = &mut self.leader {
                     leader.extend(now, *until);
                 }
@@ -401,6 +406,7 @@
             _ => {
                 self.drop_leader();
                 let _ = self.leads.send(false);
+                let _ = self.term.send(now);
             }
         }
         if self.role != role {
@@ -973,12 +979,13 @@
         let mut settings = crate::settings::tests::sample();
         let second = settings.peers[0].clone();
         settings.peers.push(crate::settings::Peer { name: "c-2".into(), ..second });
-        let cloud = super::super::cloud::start(world.address(), 1.0, Duration::from_secs(1));
+        let (term, until) = watch::channel(Instant::now());
+        let cloud = super::super::cloud::start(world.address(), 1.0, Duration::from_secs(1), until);
         let config = Arc::new(Config { settings, tuning: crate::policy::tests::tuning() });
         let (leads, _) = watch::channel(false);
         let (_roles_in, roles) = mpsc::channel(1);
         let (abandoned, _) = watch::channel(0);
-        Node::new(config, store(world.address(), 12), cloud, leads, abandoned, roles)
+        Node::new(config, store(world.address(), 12), cloud, leads, term, abandoned, roles)
     }
 
     /// The edge refuses at once: nobody is held while the buffer is full.
--- a/src/coordination/tests.rs
+++ b/src/coordination/tests.rs
@@ -291,6 +291,33 @@
     assert_eq!(rig.standing("job-1"), Some(Standing::Queued));
 }
 
+/// Frozen past its lease and the grace, clocks running on: what it finds when it
+/// wakes, late copies and repeats of what was carried out included, moves it to
+/// nothing, whatever is asked first.
+#[test]
+fn a_leader_that_stood_still_past_its_lease_does_nothing_when_it_wakes() {
+    let mut rig = Rig::with_machines(&["vm-1"]);
+    rig.accept(sample("job-1", "red", 4, 1.0));
+    let held = starts(&rig.beat("vm-1", 5, EPOCH, vec![]));
+    let running: Vec<_> = held.iter().map(|s| listed(s, TaskState::Running)).collect();
+    rig.beat("vm-1", 6, EPOCH, running.clone());
+    let to = rig.submit(sample("job-2", "red", 1, 1.0));
+    rig.commit_all();
+    assert_eq!(rig.answer(to).map(|a| a.status), Some(201));
+    rig.cloud.clear();
+    let end = rig.now + Duration::from_secs(3);
+    rig.leader.extend(rig.now, end);
+    rig.now = end + rig.config.grace() + Duration::from_secs(20);
+    for (seq, tasks) in [(6, running.clone()), (7, running), (8, vec![])] {
+        assert_eq!(rig.report("vm-1", 1, seq, EPOCH, tasks), ReportReply::Elsewhere);
+    }
+    let again = rig.submit(sample("job-2", "red", 1, 1.0));
+    assert_eq!(rig.answer(again).map(|a| a.status), Some(503), "another may know more of it");
+    rig.withdraw("job-1");
+    rig.pass(1.0);
+    assert!(rig.commits.is_empty() && rig.cloud.is_empty() && rig.direct.is_empty());
+}
+
 #[test]
 fn a_lapsed_leader_keeps_workers_alive_for_a_bounded_time_and_decides_nothing() {
     let mut rig = Rig::with_machines(&["vm-1"]);
