Count unheard machines anew when they are entered after the queue was ordered

What machines not yet heard may hold is counted when the queue is ordered. A leader without machine types enters its machines only once the cloud has told them; if the queue had been ordered just before, they counted as nothing for up to a twelfth of a report interval, and a task of a job that had never begun could be started beyond its team's limit. Excluded elsewhere: machines entered later hold nothing, and none becomes unheard. Shown by machines_entered_late_count_against_limits_at_once, which fails without the change.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -323,6 +323,10 @@
                 wanted: true,
             };
             self.machines.insert(id, machine);
+            if was_used {
+                // What unheard machines may hold is counted with the queue's order.
+                self.queue_at = None;
+            }
         }
     }
 
--- a/src/coordination/tests.rs
+++ b/src/coordination/tests.rs
@@ -497,6 +497,33 @@
     assert_eq!(starts(&rig.beat("vm-2", 1, EPOCH, vec![])).len(), 1);
 }
 
+/// The same where the machines are entered only once their types are known, after
+/// the queue was ordered: what it counted on unheard machines then was nothing.
+#[test]
+fn machines_entered_late_count_against_limits_at_once() {
+    let mut rig = Rig::new(Vec::new(), Vec::new());
+    let hires = ["vm-1", "vm-2", "vm-3"].map(|name| hired(name, true)).to_vec();
+    let jobs = vec![LoadedJob {
+        record: JobRecord::new(sample("job-1", "red", 1, 1.0), MS),
+        version: 5,
+        live_version: 5,
+        block_versions: Vec::new(),
+    }];
+    let loaded = Loaded { jobs, hires, catalog: None, experience: None };
+    rig.leader = Leader::new(rig.config.clone(), EPOCH, rig.now, MS, loaded);
+    rig.leader.extend(rig.now, rig.now + Duration::from_secs(3600));
+    rig.cloud.clear();
+    rig.pass(0.1);
+    let (ticket, _) = rig.cloud.iter().find(|(_, c)| *c == CloudCall::Catalog).cloned().expect("asked for");
+    rig.leader.cloud_done(rig.now, ticket, Ok(CloudReply::Catalog(catalog())));
+    rig.collect();
+    for seq in 1..4 {
+        assert_eq!(starts(&rig.beat("vm-1", seq, EPOCH, vec![])), vec![]);
+        rig.commit_all();
+    }
+    assert_eq!(starts(&rig.beat("vm-2", 1, EPOCH, vec![])).len(), 1);
+}
+
 #[test]
 fn a_cancellation_overtakes_a_start_in_flight() {
     let mut rig = Rig::with_machines(&["vm-1"]);
