Count machines that worked before a takeover as paid for the least billed time

A machine marked as used has booted and worked, so that minute is behind it. The tests' rig keeps idle machines for two boots, as they lived that long there only by this flaw; the new test and the one that rests on returns use the policy's own.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -281,6 +281,10 @@
         let used = hire.record.used.clone();
         let ids = hire.record.machines.clone().unwrap_or_default();
         let kind = self.kind_of(&request.machine_type);
+        // One that had tasks has booted and worked before this epoch: what is
+        // billed at the least is behind it. Counted from each takeover anew, it
+        // kept hundreds of idle machines where leaders followed one another.
+        let worked = now.checked_sub(LEAST_BILLED).unwrap_or(now);
         for id in ids {
             if self.machines.contains_key(&id) || self.gone.contains(&id) {
                 continue;
@@ -294,7 +298,7 @@
                 hire: name.to_owned(),
                 phase: if was_used { Phase::Up } else { Phase::Booting },
                 address: String::new(),
-                rented: now,
+                rented: if was_used { worked } else { now },
                 up_at: None,
                 seen: None,
                 hinted: None,
--- a/src/coordination/tests.rs
+++ b/src/coordination/tests.rs
@@ -88,9 +88,14 @@
 }
 
 impl Rig {
-    /// A leader that has just read these records.
+    /// A leader that has just read these records. Idle machines stay for two boots,
+    /// so that tests of other things keep theirs.
     fn new(jobs: Vec<LoadedJob>, hires: Vec<(HireRecord, u64)>) -> Self {
-        let tuning = policy::Tuning { preempt_loss_s: 8.0, ..policy::tests::tuning() };
+        let tuning = policy::Tuning { preempt_loss_s: 8.0, idle_ratio: 2.0, ..policy::tests::tuning() };
+        Rig::tuned(jobs, hires, tuning)
+    }
+
+    fn tuned(jobs: Vec<LoadedJob>, hires: Vec<(HireRecord, u64)>, tuning: policy::Tuning) -> Self {
         let config = Arc::new(Config { settings: settings::tests::sample(), tuning });
         let now = Instant::now();
         let loaded = Loaded { jobs, hires, catalog: Some((catalog(), 2)), experience: None };
@@ -776,9 +781,30 @@
     assert_eq!(stopped, [true], "{:?}", rig.direct);
 }
 
+/// Takeovers faster than a machine's least billed time must not keep idle
+/// machines: those that had tasks have been paid for as long already.
+#[test]
+fn an_idle_machine_that_worked_goes_back_soon_after_a_takeover() {
+    let hires = ["vm-1", "vm-2b"].map(|name| hired(name, true)).to_vec();
+    let mut rig = Rig::tuned(Vec::new(), hires, policy::tests::tuning());
+    let (begin, mut seq) = (rig.now, 1);
+    while !rig.cloud.iter().any(|(_, c)| matches!(c, CloudCall::Delete(_))) {
+        rig.pass(1.0);
+        seq += 1;
+        for name in ["vm-1", "vm-2b"] {
+            rig.report(name, 1, seq, EPOCH, vec![]);
+        }
+        assert!(rig.now < begin + Duration::from_secs(20), "kept for as long as if it were new");
+    }
+}
+
 #[test]
 fn a_deaf_machine_gets_few_starts_and_one_lost_answer_costs_nothing() {
-    let mut rig = Rig::with_machines(&["vm-1", "vm-2b"]);
+    let hires = ["vm-1", "vm-2b"].map(|name| hired(name, true)).to_vec();
+    let mut rig = Rig::tuned(Vec::new(), hires, policy::tests::tuning());
+    for name in ["vm-1", "vm-2b"] {
+        rig.beat(name, 1, EPOCH, vec![]);
+    }
     rig.accept(sample("job-9", "blue", 1, 8.0));
     let other = starts(&rig.beat("vm-2b", 4, EPOCH, vec![])).remove(0);
     rig.accept(sample("job-1", "red", 1, 1.0));
