--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -13,6 +13,7 @@
 pub mod peers;
 pub mod reconciler;
 pub mod scheduler;
+mod silence;
 mod statistics;
 
 #[cfg(test)]
