Judge once a tick how long silence must last, and count a zone's machines once

Whether silence is believed was added up from all zones for each machine; it is now settled with the count of the zones. A zone's machines were counted for spot and ordinary ones apart, more often since several rentals go out at once. No change of behaviour.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -823,14 +823,14 @@
                 continue;
             }
             for zone in kind.zones.iter().filter(|z| key.zone.as_ref().is_none_or(|k| k == *z)) {
+                let coming = chosen.iter().filter(|o| o.1 == *zone).map(|o| o.3 as usize).sum::<usize>();
+                let here = self.machines.values().filter(|m| m.zone == *zone).count() + coming;
                 for spot in [true, false] {
                     if (spot && !key.spot) || busy(at, zone, spot) {
                         continue;
                     }
                     let weight = self.config.tuning.spot_price_weight;
                     let cost = f64::from(count) * if spot { kind.spot_price * weight } else { kind.price };
-                    let coming = chosen.iter().filter(|o| o.1 == *zone).map(|o| o.3 as usize).sum::<usize>();
-                    let here = self.machines.values().filter(|m| m.zone == *zone).count() + coming;
                     let better = best
                         .as_ref()
                         .is_none_or(|(c, n, _)| cost < c * 0.99 || (cost < c * 1.01 && here < *n));
--- a/src/coordination/silence.rs
+++ b/src/coordination/silence.rs
@@ -23,11 +23,9 @@
     now: Instant,
     /// Since when this leader could have heard anybody.
     since: Instant,
-    /// Whether all but a few are heard, and have been for a while.
-    clear: bool,
-    /// When the next report of a machine is surely overdue.
-    overdue: Duration,
-    silence: Duration,
+    /// How long silence must last to be believed, as things are.
+    patience: Duration,
+    anybody_heard: bool,
     lease: Duration,
     /// Machines that are up, and those heard of, by zone.
     zones: HashMap<String, (usize, usize)>,
@@ -40,13 +38,7 @@
 
     /// Nothing is to be expected of it for now.
     pub(super) fn is_silent(&self, m: &Machine) -> bool {
-        let (up, heard) = self.zones.values().fold((0, 0), |sum, zone| (sum.0 + zone.0, sum.1 + zone.1));
-        let patience = match most(heard, up) {
-            true if self.clear => self.overdue,
-            true => self.silence,
-            false => self.lease,
-        };
-        self.lasts(m, patience) && heard > 0
+        self.anybody_heard && self.lasts(m, self.patience)
     }
 
     /// It is not coming back: to be returned.
@@ -62,33 +54,45 @@
 }
 
 impl Leader {
-    pub(super) fn silence(&self, now: Instant) -> Silence {
-        // A report may come a quarter late, and its packets a little more.
+    /// When the next report of a machine is surely overdue: it may come a quarter
+    /// late, and its packets a little more.
+    fn overdue(&self) -> Duration {
         let silence = self.config.tuning.silence;
-        let overdue = self.config.settings.cluster.workers.report().mul_f64(1.6).max(silence * 2 / 3);
+        let report = self.config.settings.cluster.workers.report();
+        report.mul_f64(1.6).max(silence * 2 / 3).min(silence)
+    }
+
+    pub(super) fn silence(&self, now: Instant) -> Silence {
+        let (overdue, lease) = (self.overdue(), self.config.settings.cluster.workers.lease());
         let mut found = Silence {
             now,
             since: self.since,
-            clear: self.clear_since.is_some_and(|at| now >= at + overdue),
-            overdue: overdue.min(silence),
-            silence,
-            lease: self.config.settings.cluster.workers.lease(),
+            patience: self.config.tuning.silence,
+            anybody_heard: false,
+            lease,
             zones: HashMap::new(),
         };
         for m in self.machines.values().filter(|m| m.phase == Phase::Up) {
-            let silent = found.lasts(m, found.silence);
+            let silent = found.lasts(m, found.patience);
             let (up, heard) = found.zones.entry(m.zone.clone()).or_default();
             *up += 1;
             *heard += usize::from(!silent);
         }
+        let (up, heard) = found.zones.values().fold((0, 0), |sum, zone| (sum.0 + zone.0, sum.1 + zone.1));
+        found.anybody_heard = heard > 0;
+        if !most(heard, up) {
+            found.patience = lease;
+        } else if self.clear_since.is_some_and(|at| now >= at + overdue) {
+            found.patience = overdue;
+        }
         found
     }
 
     /// Notes since when all but a few machines have been heard in time.
     pub(super) fn note_silence(&mut self, now: Instant) {
-        let silence = self.silence(now);
+        let (silence, overdue) = (self.silence(now), self.overdue());
         let up = self.machines.values().filter(|m| m.phase == Phase::Up);
-        let late = up.clone().filter(|m| silence.lasts(m, silence.overdue)).count();
+        let late = up.clone().filter(|m| silence.lasts(m, overdue)).count();
         if late * 10 > up.count() {
             self.clear_since = None;
         } else {
