Stop what is cancelled in every answer, and bound a lapse by cancel_s

Direct stops went out once; a full answer could leave a stop out. Now: only stops of what is over or called off go into those answers; the lapse is the lesser of half a lease and cancel_s less the lease proof and an answer's way (the takeover's proof uses the same figure); a machine on which stops have no effect gets no 200 late in the time; direct stops are repeated; a silent machine is deleted in time; stops go out at the request, not at its commit; stops before reaps.

--- a/src/coordination/agents.rs
+++ b/src/coordination/agents.rs
@@ -11,8 +11,8 @@
 
 use super::leader::{Action, Leader};
 use super::model::{Phase, Resources, SlotKey, SlotState};
-use crate::protocol::jobs::JobId;
-use crate::protocol::workers::{ExitCause, MachineId, Order, Report, TaskReport, TaskState};
+use crate::protocol::jobs::{JobId, TaskId};
+use crate::protocol::workers::{ANSWER_WITHIN, ExitCause, MachineId, Order, Report, TaskReport, TaskState};
 
 /// Most orders in one answer; more follow with the next report. Keeps the
 /// answer well below its size limit.
@@ -42,7 +42,6 @@
         if !self.valid(now) {
             return self.report_in_grace(now, report);
         }
-        let empty = ReportReply::Orders { token: self.epoch, orders: Vec::new() };
         if self.gone.contains(&report.machine) {
             // A late copy from a machine whose deletion was confirmed.
             return ReportReply::Elsewhere;
@@ -60,7 +59,7 @@
             if report.token == epoch {
                 self.meet_unexpected(now, &report.machine, &report.machine_type, &report.zone, report.spot);
             }
-            return empty;
+            return self.only_final_stops(report);
         };
         let stamp = (report.session, report.seq);
         // A copy, or a machine that was back so quickly that its numbers are
@@ -71,9 +70,11 @@
         if m.seen.is_some_and(|seen| stamp <= seen) || report.session < m.least_session {
             return ReportReply::Elsewhere;
         }
+        let outlives = self.outlives_its_stops(now, report);
         if report.token < epoch {
-            return self.take_hint(now, report);
+            return if outlives { ReportReply::Elsewhere } else { self.take_hint(now, report) };
         }
+        let Some(m) = self.machines.get_mut(&report.machine) else { return ReportReply::Elsewhere };
         let lease = self.config.settings.cluster.workers.lease();
         // The first effect of ours that can be seen is the token.
         if m.seen.is_none() || m.hinted.take().is_some() {
@@ -85,7 +86,9 @@
             // Its lease has run out although it was answered.
             m.heed.miss(now);
         }
-        m.answered = Some(now);
+        if !outlives {
+            m.answered = Some(now);
+        }
         m.heard = Some(now);
         m.up_at.get_or_insert(now);
         m.address.clone_from(&report.address);
@@ -105,6 +108,9 @@
         }
         self.take_tasks(now, report);
         self.become_known(&report.machine);
+        if outlives {
+            return ReportReply::Elsewhere;
+        }
         let mut orders = self.stops_and_reaps(report);
         self.mark_used(&report.machine);
         self.stop_for_notice(now, &report.machine);
@@ -160,10 +166,33 @@
         m.answered = Some(now);
         // Its first start is near: the mark it needs takes a write.
         self.mark_used(&report.machine);
-        ReportReply::Orders { token: self.epoch, orders: Vec::new() }
+        self.only_final_stops(report)
     }
 
-    /// An answer without orders while the lease has lapsed, for a bounded time.
+    /// An answer that decides nothing, and stops what is decided already.
+    ///
+    /// Every answer keeps a worker's lease alive, and what it runs with it. Were
+    /// the stops of cancelled jobs left out of the first answer after a takeover
+    /// and of those in a lapse, a chain of short-lived leaders that each give
+    /// only such answers could keep a cancelled task alive for ever. Stopping
+    /// what is over, or what its user has called off, is right under any epoch,
+    /// at any time, and as an answer to any copy of a report: the order names
+    /// task and attempt. A worker that gets the answer gets the stop with it, and
+    /// one that does not is not kept alive.
+    fn only_final_stops(&self, report: &Report) -> ReportReply {
+        let over = |job: &JobId| self.jobs.get(job).is_none_or(|j| !j.is_live());
+        let orders = report
+            .tasks
+            .iter()
+            .filter(|t| !matches!(t.state, TaskState::Exited(_)) && over(&t.task.job))
+            .map(|t| Order::Stop { task: t.task.clone(), attempt: t.attempt, grace_s: 0.0 })
+            .take(MAX_ORDERS)
+            .collect();
+        ReportReply::Orders { token: self.epoch, orders }
+    }
+
+    /// An answer with nothing but stops while the lease has lapsed, for a bounded
+    /// time.
     ///
     /// An outage of the state service lapses every lease of ours, and would
     /// take the workers' along if it lasted. Kept alive, they finish what they
@@ -171,6 +200,9 @@
     /// machines that much longer, see [`super::leader::Config::takeover_proof`].
     fn report_in_grace(&mut self, now: Instant, report: &Report) -> ReportReply {
         let until = self.until + self.config.grace();
+        if self.outlives_its_stops(now, report) {
+            return ReportReply::Elsewhere;
+        }
         let Some(m) = self.machines.get_mut(&report.machine) else { return ReportReply::Elsewhere };
         // Only machines that this epoch has heard are surely counted by it.
         if now >= until || m.answered.is_none() || report.token < self.epoch {
@@ -178,7 +210,7 @@
         }
         m.answered = Some(now);
         m.heard = Some(now);
-        ReportReply::Orders { token: self.epoch, orders: Vec::new() }
+        self.only_final_stops(report)
     }
 
     fn take_tasks(&mut self, now: Instant, report: &Report) {
@@ -294,7 +326,7 @@
                 // Its result is kept; whoever runs it besides wastes work.
                 let elsewhere = self.jobs.get(&key.0).and_then(|j| j.active.get(&key.1)).cloned();
                 if let Some(other) = elsewhere.filter(|other| other != machine) {
-                    self.order_stop(&other, key, 0.0);
+                    self.order_stop(now, &other, key, 0.0);
                 }
             }
             ExitCause::Error | ExitCause::Unknown if held => self.note_failure(now, machine, &key.0),
@@ -333,9 +365,6 @@
         let Some(m) = self.machines.get(&report.machine) else { return Vec::new() };
         let mut orders = Vec::new();
         for task in &report.tasks {
-            if orders.len() >= MAX_ORDERS {
-                break;
-            }
             let (job, attempt) = (&task.task.job, task.attempt);
             let name = task.task.clone();
             match task.state {
@@ -365,26 +394,31 @@
                 },
             }
         }
+        // No answer may leave a stop out for want of room: it renews the lease
+        // under which the task runs.
+        orders.sort_by_key(|order| matches!(order, Order::Forget { .. }));
+        orders.truncate(MAX_ORDERS);
         orders
     }
 
     /// Has a task stopped: at once, and again with every report until it is gone.
-    pub(super) fn order_stop(&mut self, machine: &MachineId, key: &SlotKey, grace_s: f64) {
+    pub(super) fn order_stop(&mut self, now: Instant, machine: &MachineId, key: &SlotKey, grace_s: f64) {
         let Some(m) = self.machines.get_mut(machine) else { return };
         let Some(slot) = m.slots.get_mut(key) else { return };
         if slot.stop.is_some_and(|before| before <= grace_s) {
             return;
         }
         slot.stop = Some(grace_s);
+        m.stops_sent = Some(now);
         if let (Ok(address), Some((session, _))) = (m.address.parse(), m.seen) {
-            let task = crate::protocol::jobs::TaskId { job: key.0.clone(), index: key.1 };
+            let task = TaskId { job: key.0.clone(), index: key.1 };
             let order = Order::Stop { task, attempt: slot.attempt, grace_s };
             self.actions.push(Action::Direct { address, token: self.epoch, session, orders: vec![order] });
         }
     }
 
     /// The job is over: whatever runs of it is of no use.
-    pub(super) fn stop_leftovers(&mut self, job: &JobId) {
+    pub(super) fn stop_leftovers(&mut self, now: Instant, job: &JobId) {
         let Some(j) = self.jobs.get(job) else { return };
         if j.slots == 0 {
             return;
@@ -395,10 +429,66 @@
             .flat_map(|m| m.slots.keys().filter(|k| &k.0 == job).map(|k| (m.id.clone(), k.clone())))
             .collect();
         for (machine, key) in found {
-            self.order_stop(&machine, &key, 0.0);
+            self.order_stop(now, &machine, &key, 0.0);
         }
     }
 
+    /// Sends the stops of cancelled jobs straight to their machines again, until
+    /// the tasks are proven gone: one order can be lost, and a machine that reaches
+    /// no controller may still be reached. In a lapse as well, since nothing is
+    /// decided by it. A machine that has not been heard since, late in the time that
+    /// a cancellation has, is deleted: the answer is the proof.
+    pub(super) fn repeat_stops(&mut self, now: Instant) {
+        if self.is_over() || !self.jobs.values().any(|j| j.cancelled_at.is_some() && j.slots > 0) {
+            return;
+        }
+        let workers = &self.config.settings.cluster.workers;
+        let (pause, late) = (workers.report(), workers.cancellation() / 2);
+        let may_delete = self.valid(now) && !self.cloud_is_down(now);
+        let mut lost = Vec::new();
+        for m in self.machines.values_mut().filter(|m| !m.slots.is_empty()) {
+            let stops: Vec<(Instant, Order)> = m
+                .slots
+                .iter()
+                .filter_map(|((job, index), slot)| {
+                    let at = self.jobs.get(job)?.cancelled_at?;
+                    let task = TaskId { job: job.clone(), index: *index };
+                    Some((at, Order::Stop { task, attempt: slot.attempt, grace_s: 0.0 }))
+                })
+                .collect();
+            let Some(first) = stops.iter().map(|(at, _)| *at).min() else { continue };
+            let unheard = m.heard.is_none_or(|at| at < first);
+            if may_delete && unheard && now >= first + late && m.phase == Phase::Up {
+                lost.push(m.id.clone());
+            }
+            if m.stops_sent.is_some_and(|at| now < at + pause) {
+                continue;
+            }
+            if let (Ok(address), Some((session, _))) = (m.address.parse(), m.seen) {
+                m.stops_sent = Some(now);
+                let orders = stops.into_iter().map(|(_, order)| order).take(MAX_ORDERS).collect();
+                self.actions.push(Action::Direct { address, token: self.epoch, session, orders });
+            }
+        }
+        if !lost.is_empty() {
+            tracing::info!(count = lost.len(), "silent machines may hold cancelled tasks; deleting them");
+            self.delete(lost);
+        }
+    }
+
+    /// Whether the report shows that stops of a cancelled job have no effect, so
+    /// late that the worker must now lose its lease for it. Counted from the
+    /// cancellation, not from stops that were missed.
+    fn outlives_its_stops(&self, now: Instant, report: &Report) -> bool {
+        let cancellation = self.config.settings.cluster.workers.cancellation();
+        let patience = cancellation.saturating_sub(self.config.lease_proof() + ANSWER_WITHIN);
+        let since = |job: &JobId| self.jobs.get(job).and_then(|j| j.cancelled_at);
+        report.tasks.iter().any(|t| {
+            !matches!(t.state, TaskState::Exited(_))
+                && since(&t.task.job).is_some_and(|at| now >= at + patience)
+        })
+    }
+
     /// What can be saved before the cloud takes the machine is saved now. What
     /// cannot be saved may still finish in time; what will not is stopped at once,
     /// since its work is lost anyway, and it starts elsewhere that much sooner
@@ -423,7 +513,7 @@
             }
         }
         for (key, grace_s) in stops {
-            self.order_stop(machine, &key, grace_s);
+            self.order_stop(now, machine, &key, grace_s);
         }
     }
 
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -259,6 +259,7 @@
                 used: was_used,
                 marking: false,
                 delete_asked: false,
+                stops_sent: None,
                 taken_at: None,
                 slots: Default::default(),
                 free: self.catalog.get(kind).map(Resources::of_type).unwrap_or_default(),
@@ -411,7 +412,7 @@
         self.check_whole();
     }
 
-    fn delete(&mut self, machines: Vec<MachineId>) {
+    pub(super) fn delete(&mut self, machines: Vec<MachineId>) {
         for chunk in machines.chunks(MAX_DELETE) {
             for id in chunk {
                 if let Some(m) = self.machines.get_mut(id) {
@@ -498,6 +499,11 @@
         }
     }
 
+    /// Whether the cloud has failed a moment ago.
+    pub(super) fn cloud_is_down(&self, now: Instant) -> bool {
+        self.cloud_failed_at.is_some_and(|at| now < at + Duration::from_secs(10))
+    }
+
     /// How old the machine list usually is.
     fn list_lag(&self) -> Duration {
         Duration::from_secs_f64(self.config.settings.cluster.cloud.list_lag_s.max(1.0))
@@ -860,7 +866,7 @@
     fn give_back(&mut self, now: Instant, wanted: &HashSet<MachineId>) {
         let tuning = &self.config.tuning;
         let silence = self.silence(now);
-        let cloud_down = self.cloud_failed_at.is_some_and(|at| now < at + Duration::from_secs(10));
+        let cloud_down = self.cloud_is_down(now);
         let mut back = Vec::new();
         for m in self.machines.values() {
             let boot = Duration::from_secs_f64(self.catalog.get(m.kind).map_or(30.0, |k| k.boot_s).max(1.0));
--- a/src/coordination/intake.rs
+++ b/src/coordination/intake.rs
@@ -125,6 +125,9 @@
             if !settling {
                 j.cancel_wanted = true;
                 self.write_record(job);
+                // What it runs is of no use from now on, whatever becomes of the
+                // write; and an image that arrives meanwhile starts nothing.
+                self.stop_leftovers(now, job);
             }
         }
         true
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -22,7 +22,7 @@
 use crate::protocol::cloud::MachineType;
 use crate::protocol::jobs::{JobId, JobSpec, refusal};
 use crate::protocol::state::{Change, Condition};
-use crate::protocol::workers::{MachineId, Order};
+use crate::protocol::workers::{ANSWER_WITHIN, MachineId, Order};
 use crate::settings::Settings;
 use crate::storage::records::{
     CATALOG, EXPERIENCE, Experience, HireRecord, JobRecord, block_key, block_size, blocks, hire_key,
@@ -144,9 +144,16 @@
     }
 
     /// How long after its lease has lapsed a leader still answers reports,
-    /// without orders.
+    /// without anything but stops.
+    ///
+    /// It may not know of cancellations that another has confirmed since then.
+    /// So what it answers last must leave a worker time to lose its lease, by
+    /// the proof that leaders go by, before such a cancellation must have ended
+    /// everything; less what an answer may take to arrive.
     pub fn grace(&self) -> Duration {
-        self.settings.cluster.workers.lease() / 2
+        let workers = &self.settings.cluster.workers;
+        let cancellation = workers.cancellation().saturating_sub(self.lease_proof() + ANSWER_WITHIN);
+        cancellation.min(workers.lease() / 2)
     }
 
     /// The same proof for a machine that this leader has never answered: an
@@ -385,7 +392,7 @@
         }
         match self.tickets.remove(&ticket) {
             Some(Ticket::Create(job)) => self.created(now, job, result),
-            Some(Ticket::Record(job)) => self.recorded(job, result),
+            Some(Ticket::Record(job)) => self.recorded(now, job, result),
             Some(Ticket::Move(job)) => self.moved(job, result),
             Some(Ticket::Note(key)) => {
                 let note = self.notes.entry(key).or_default();
@@ -405,13 +412,17 @@
 
     /// To be called a few times a second.
     pub fn tick(&mut self, now: Instant) {
+        let slow = now >= self.slow_tick_at;
+        if slow {
+            self.slow_tick_at = now + Duration::from_secs(1);
+            self.repeat_stops(now);
+        }
         if !self.valid(now) {
             return;
         }
         self.flush_records(now);
         self.prove_silent_machines(now);
-        if now >= self.slow_tick_at {
-            self.slow_tick_at = now + Duration::from_secs(1);
+        if slow {
             self.begin_next(now);
             self.fleet_tick(now);
             self.preempt(now);
@@ -583,7 +594,7 @@
         self.commit(Ticket::Record(job.clone()), class, conditions, changes);
     }
 
-    fn recorded(&mut self, job: JobId, result: Result<u64, StoreError>) {
+    fn recorded(&mut self, now: Instant, job: JobId, result: Result<u64, StoreError>) {
         let Some(j) = self.jobs.get_mut(&job) else { return };
         let Some(written) = j.writing.take() else { return };
         match result {
@@ -597,6 +608,7 @@
                 j.recorded = written.done;
                 j.begun = written.begun;
                 j.record.cancelled = written.cancelled;
+                j.cancelled_at = written.cancelled.then_some(now);
                 j.record.settled = written.settled;
             }
             Err(StoreError::Fenced) => return,
@@ -617,7 +629,7 @@
                 for to in waiting {
                     self.answer(to, Answer::new(200, &status.encode()));
                 }
-                self.stop_leftovers(&job);
+                self.stop_leftovers(now, &job);
                 self.try_move(&job);
             }
             None => {
@@ -815,6 +827,7 @@
         let mut entry = Job::new(job.record, job.version, job.live_version, submitted, 0);
         entry.block_versions = job.block_versions;
         entry.unproven = entry.begun;
+        entry.cancelled_at = entry.record.cancelled.then_some(now);
         entry.team = self.team_index.get(&entry.spec().team).copied();
         self.jobs.insert(entry.id().clone(), entry);
     }
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -107,6 +107,8 @@
     /// Users who wait for a cancellation.
     pub withdrawals: Vec<ReplyTo>,
     pub cancel_wanted: bool,
+    /// When its cancellation was committed, or read by a new leader.
+    pub cancelled_at: Option<Instant>,
     pub team: Option<usize>,
     pub submitted: Instant,
     pub active: HashMap<u32, MachineId>,
@@ -148,6 +150,7 @@
             leaving: false,
             withdrawals: Vec::new(),
             cancel_wanted: false,
+            cancelled_at: None,
             team: None,
             submitted,
             active: HashMap::new(),
@@ -342,6 +345,8 @@
     pub marking: bool,
     /// A deletion is under way.
     pub delete_asked: bool,
+    /// When stops were last sent straight to it.
+    pub stops_sent: Option<Instant>,
     pub taken_at: Option<Instant>,
     pub slots: HashMap<SlotKey, Slot>,
     pub free: Resources,
--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -530,7 +530,7 @@
         }
         for (machine, key, grace_s) in stops {
             tracing::debug!(%machine, job = %key.0, task = key.1, "preempted");
-            self.order_stop(&machine, &key, grace_s);
+            self.order_stop(now, &machine, &key, grace_s);
         }
     }
 
--- /dev/null
+++ b/src/coordination/tests/lease.rs
@@ -0,0 +1,86 @@
+//! What a leader does past its lease, and once its epoch is over.
+
+use super::*;
+
+#[test]
+fn a_fenced_write_ends_the_epoch_and_tells_the_user_nothing_untrue() {
+    let mut rig = Rig::with_machines(&["vm-1"]);
+    let to = rig.submit(sample("job-1", "red", 1, 1.0));
+    assert_eq!(rig.commits[0].1.epoch, EPOCH);
+    rig.fail_commit(StoreError::Fenced);
+    assert_eq!(rig.answer(to).map(|a| (a.status, a.retry_after_s)), Some((503, Some(1))));
+    assert!(rig.leader.is_over());
+    // Nothing of the stale epoch gets out any more.
+    assert_eq!(rig.report("vm-1", 1, 9, EPOCH, vec![]), ReportReply::Elsewhere);
+    let late = rig.submit(sample("job-2", "red", 1, 1.0));
+    assert_eq!(rig.answer(late).map(|a| a.status), Some(503));
+    assert!(rig.commits.is_empty());
+}
+
+#[test]
+fn past_its_lease_a_leader_answers_only_what_is_final() {
+    let mut rig = Rig::with_machines(&["vm-1"]);
+    rig.accept(sample("job-1", "red", 1, 1.0));
+    rig.accept(sample("job-2", "red", 1, 1.0));
+    rig.withdraw("job-2");
+    // Cancelled but still on a machine, so still in the picture.
+    let orders = rig.beat("vm-1", 2, EPOCH, vec![]);
+    assert_eq!(starts(&orders).len(), 1);
+    let end = rig.now + Duration::from_secs(1);
+    rig.leader.extend(rig.now, end);
+    rig.now = end;
+    assert!(!rig.leader.valid(rig.now));
+    assert_eq!(rig.standing("job-1"), None);
+    // Renewed after all, with the key unchanged: the epoch goes on.
+    rig.leader.extend(rig.now, rig.now + Duration::from_secs(9));
+    assert_eq!(rig.standing("job-1"), Some(Standing::Queued));
+}
+
+/// Frozen past its lease and the grace, clocks running on: what it finds when it
+/// wakes, late copies and repeats of what was carried out included, moves it to
+/// nothing, whatever is asked first.
+#[test]
+fn a_leader_that_stood_still_past_its_lease_does_nothing_when_it_wakes() {
+    let mut rig = Rig::with_machines(&["vm-1"]);
+    rig.accept(sample("job-1", "red", 4, 1.0));
+    let held = starts(&rig.beat("vm-1", 5, EPOCH, vec![]));
+    let running: Vec<_> = held.iter().map(|s| listed(s, TaskState::Running)).collect();
+    rig.beat("vm-1", 6, EPOCH, running.clone());
+    let to = rig.submit(sample("job-2", "red", 1, 1.0));
+    rig.commit_all();
+    assert_eq!(rig.answer(to).map(|a| a.status), Some(201));
+    rig.cloud.clear();
+    let end = rig.now + Duration::from_secs(3);
+    rig.leader.extend(rig.now, end);
+    rig.now = end + rig.config.grace() + Duration::from_secs(20);
+    for (seq, tasks) in [(6, running.clone()), (7, running), (8, vec![])] {
+        assert_eq!(rig.report("vm-1", 1, seq, EPOCH, tasks), ReportReply::Elsewhere);
+    }
+    let again = rig.submit(sample("job-2", "red", 1, 1.0));
+    assert_eq!(rig.answer(again).map(|a| a.status), Some(503), "another may know more of it");
+    rig.withdraw("job-1");
+    rig.pass(1.0);
+    assert!(rig.commits.is_empty() && rig.cloud.is_empty() && rig.direct.is_empty());
+}
+
+#[test]
+fn a_lapsed_leader_keeps_workers_alive_for_a_bounded_time_and_decides_nothing() {
+    let mut rig = Rig::with_machines(&["vm-1"]);
+    rig.accept(sample("job-1", "red", 1, 1.0));
+    let start = starts(&rig.beat("vm-1", 5, EPOCH, vec![])).remove(0);
+    rig.accept(sample("job-2", "red", 1, 1.0));
+    let end = rig.now + Duration::from_secs(1);
+    rig.leader.extend(rig.now, end);
+    rig.now = end + rig.config.grace() / 2;
+    let report = vec![listed(&start, DONE)];
+    assert_eq!(rig.beat("vm-1", 6, EPOCH, report.clone()), vec![], "no start, no reap");
+    assert!(rig.commits.is_empty());
+    // One that this epoch has not heard, or that another leads by now.
+    assert_eq!(rig.report("vm-9", 1, 1, EPOCH, vec![]), ReportReply::Elsewhere);
+    assert_eq!(rig.report("vm-1", 1, 7, EPOCH + 1, vec![]), ReportReply::Elsewhere);
+    rig.now = end + rig.config.grace();
+    assert_eq!(rig.report("vm-1", 1, 7, EPOCH, report.clone()), ReportReply::Elsewhere);
+    // Resumed, the same report is news.
+    rig.leader.extend(rig.now, rig.now + Duration::from_secs(60));
+    assert_eq!(starts(&rig.beat("vm-1", 8, EPOCH, report)).len(), 1);
+}
--- /dev/null
+++ b/src/coordination/tests/mod.rs
@@ -0,0 +1,283 @@
+//! The leader against scripted workers, state service and cloud, on a clock
+//! that only moves when told.
+
+mod cancellation;
+mod lease;
+mod placing;
+mod records;
+mod renting;
+mod reports;
+mod takeover;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::agents::ReportReply;
+use super::cloud::{CloudCall, CloudError, CloudReply};
+use super::leader::{Action, Answer, Config, Leader, Loaded, LoadedJob};
+use super::model::ReplyTo;
+use crate::policy;
+use crate::protocol::cbor::{Fields, decode};
+use crate::protocol::cloud::{HireRequest, ListPage, Listed, ListedState, MachineType};
+use crate::protocol::jobs::tests::sample;
+use crate::protocol::jobs::{JobId, JobSpec, Priority, Standing, TaskId};
+use crate::protocol::state::Change;
+use crate::protocol::workers::{ANSWER_WITHIN, ExitCause, MachineId, Order, Report, TaskReport, TaskState};
+use crate::settings;
+use crate::storage::records::{HIRES, HireRecord, JobRecord, live_key, over_key, record_key};
+use crate::storage::service::{Class, StoreError, Transaction};
+
+const EPOCH: u64 = 40;
+const MS: u64 = 1_000_000;
+
+struct Rig {
+    leader: Leader,
+    now: Instant,
+    config: Arc<Config>,
+    version: u64,
+    answers: Vec<(ReplyTo, Answer)>,
+    lookups: Vec<(JobId, Answer)>,
+    commits: Vec<(u64, Transaction)>,
+    direct: Vec<Order>,
+    cloud: Vec<(u64, CloudCall)>,
+    replies: u64,
+}
+
+fn id(text: &str) -> JobId {
+    JobId::parse(text).expect("valid id")
+}
+
+fn machine(text: &str) -> MachineId {
+    MachineId::parse(text).expect("valid name")
+}
+
+fn catalog() -> Vec<MachineType> {
+    vec![MachineType {
+        name: "m8".into(),
+        cpus: 8.0,
+        gpus: 0.0,
+        memory_gb: 32.0,
+        cache_gb: 20.0,
+        fetch_gb_per_s: 1.0,
+        price: 1.0,
+        spot_price: 0.4,
+        boot_s: 30.0,
+        zones: vec!["z1".into(), "z2".into()],
+    }]
+}
+
+/// A fleet record of one machine in zone `z1`.
+fn hired(name: &str, used: bool) -> (HireRecord, u64) {
+    let request = HireRequest {
+        name: format!("1-{name}"),
+        machine_type: "m8".into(),
+        zone: if name.ends_with('b') { "z2".into() } else { "z1".into() },
+        spot: false,
+        count: 1,
+    };
+    let id = machine(name);
+    (
+        HireRecord {
+            request,
+            machines: Some(vec![id.clone()]),
+            used: used.then_some(id).into_iter().collect(),
+        },
+        3,
+    )
+}
+
+/// A job of which every task may have begun.
+fn loaded_job(spec: JobSpec) -> LoadedJob {
+    let begun = spec.tasks;
+    let record = JobRecord { begun, ..JobRecord::new(spec, MS) };
+    LoadedJob { record, version: 5, live_version: 5, block_versions: Vec::new() }
+}
+
+impl Rig {
+    /// A leader that has just read these records. Idle machines stay for two boots,
+    /// so that tests of other things keep theirs.
+    fn new(jobs: Vec<LoadedJob>, hires: Vec<(HireRecord, u64)>) -> Self {
+        let tuning = policy::Tuning { preempt_loss_s: 8.0, idle_ratio: 2.0, ..policy::tests::tuning() };
+        Rig::tuned(jobs, hires, tuning)
+    }
+
+    fn tuned(jobs: Vec<LoadedJob>, hires: Vec<(HireRecord, u64)>, tuning: policy::Tuning) -> Self {
+        let config = Arc::new(Config { settings: settings::tests::sample(), tuning });
+        let now = Instant::now();
+        let loaded = Loaded { jobs, hires, catalog: Some((catalog(), 2)), experience: None };
+        let mut leader = Leader::new(config.clone(), EPOCH, now, MS, loaded);
+        leader.extend(now, now + Duration::from_secs(3600));
+        let mut rig = Rig {
+            leader,
+            now,
+            config,
+            version: 100,
+            answers: Vec::new(),
+            lookups: Vec::new(),
+            commits: Vec::new(),
+            direct: Vec::new(),
+            cloud: Vec::new(),
+            replies: 0,
+        };
+        rig.collect();
+        rig
+    }
+
+    /// With machines that are up, known and recorded as used.
+    fn with_machines(names: &[&str]) -> Self {
+        let mut rig = Rig::new(Vec::new(), names.iter().map(|n| hired(n, true)).collect());
+        for name in names {
+            rig.beat(name, 1, EPOCH, vec![]);
+        }
+        rig
+    }
+
+    fn collect(&mut self) {
+        for action in self.leader.take_actions() {
+            match action {
+                Action::Answer { to, answer } => self.answers.push((to, answer)),
+                Action::LookUp { job, otherwise, .. } => self.lookups.push((job, otherwise)),
+                Action::Commit { ticket, transaction } => self.commits.push((ticket, transaction)),
+                Action::Cloud { ticket, call } => self.cloud.push((ticket, call)),
+                Action::Direct { orders, .. } => self.direct.extend(orders),
+                Action::Over(_) => {}
+            }
+        }
+    }
+
+    /// The state service carries out all that waits; what that entails, too.
+    fn commit_all(&mut self) -> Vec<Transaction> {
+        let mut all = Vec::new();
+        while !self.commits.is_empty() {
+            for (ticket, transaction) in std::mem::take(&mut self.commits) {
+                self.version += 1;
+                self.leader.committed(self.now, ticket, Ok(self.version));
+                all.push(transaction);
+            }
+            self.collect();
+        }
+        all
+    }
+
+    fn fail_commit(&mut self, error: StoreError) {
+        let (ticket, _) = self.commits.remove(0);
+        self.leader.committed(self.now, ticket, Err(error));
+        self.collect();
+    }
+
+    fn pass(&mut self, seconds: f64) {
+        self.now += Duration::from_secs_f64(seconds);
+        self.leader.tick(self.now);
+        self.collect();
+    }
+
+    fn report(
+        &mut self,
+        name: &str,
+        session: u64,
+        seq: u64,
+        token: u64,
+        tasks: Vec<TaskReport>,
+    ) -> ReportReply {
+        self.report_with(name, session, seq, token, None, tasks)
+    }
+
+    fn report_with(
+        &mut self,
+        name: &str,
+        session: u64,
+        seq: u64,
+        token: u64,
+        notice_s: Option<f64>,
+        tasks: Vec<TaskReport>,
+    ) -> ReportReply {
+        let report = Report {
+            machine: machine(name),
+            address: "127.0.0.1:9".into(),
+            machine_type: "m8".into(),
+            zone: if name.ends_with('b') { "z2".into() } else { "z1".into() },
+            spot: false,
+            session,
+            seq,
+            token,
+            notice_s,
+            tasks,
+        };
+        let reply = self.leader.report(self.now, &report);
+        self.collect();
+        reply
+    }
+
+    /// A report of the first session; returns the orders.
+    fn beat(&mut self, name: &str, seq: u64, token: u64, tasks: Vec<TaskReport>) -> Vec<Order> {
+        match self.report(name, 1, seq, token, tasks) {
+            ReportReply::Orders { token: EPOCH, orders } => orders,
+            other => panic!("no answer: {other:?}"),
+        }
+    }
+
+    fn submit(&mut self, spec: JobSpec) -> ReplyTo {
+        self.replies += 1;
+        let to = ReplyTo(self.replies);
+        self.leader.submit(self.now, MS, to, spec);
+        self.collect();
+        to
+    }
+
+    fn accept(&mut self, spec: JobSpec) {
+        let to = self.submit(spec);
+        self.commit_all();
+        assert_eq!(self.answer(to).map(|a| a.status), Some(201));
+    }
+
+    fn withdraw(&mut self, job: &str) -> ReplyTo {
+        self.replies += 1;
+        let to = ReplyTo(self.replies);
+        assert!(self.leader.withdraw(self.now, to, &id(job)));
+        self.collect();
+        to
+    }
+
+    fn answer(&self, to: ReplyTo) -> Option<Answer> {
+        self.answers.iter().find(|(t, _)| *t == to).map(|(_, a)| a.clone())
+    }
+
+    fn standing(&self, job: &str) -> Option<Standing> {
+        self.leader.poll(self.now, &id(job)).map(|s| s.standing)
+    }
+}
+
+fn starts(orders: &[Order]) -> Vec<(TaskId, u64)> {
+    orders
+        .iter()
+        .filter_map(|o| match o {
+            Order::Start { task, attempt } => Some((task.clone(), *attempt)),
+            _ => None,
+        })
+        .collect()
+}
+
+fn listed(start: &(TaskId, u64), state: TaskState) -> TaskReport {
+    TaskReport { task: start.0.clone(), attempt: start.1, state }
+}
+
+const DONE: TaskState = TaskState::Exited(ExitCause::Done);
+
+fn told(answer: &Answer) -> String {
+    let value = decode(&answer.body).expect("CBOR");
+    Fields::of(&value).and_then(|f| f.text("standing").map(str::to_owned)).expect("a standing")
+}
+
+fn in_list(name: &str, state: ListedState) -> Listed {
+    Listed {
+        machine: machine(name),
+        address: String::new(),
+        machine_type: "m8".into(),
+        zone: "z1".into(),
+        spot: false,
+        state,
+        age_s: 1.0,
+    }
+}
--- /dev/null
+++ b/src/coordination/tests/placing.rs
@@ -0,0 +1,138 @@
+//! What runs where, and in which order.
+
+use super::*;
+
+#[test]
+fn together_and_scatter_count_tasks_wherever_they_may_be() {
+    let mut rig = Rig::with_machines(&["vm-1", "vm-2b"]);
+    let mut together = sample("job-1", "red", 2, 8.0);
+    together.one_zone = true;
+    rig.accept(together);
+    let first = starts(&rig.beat("vm-1", 5, EPOCH, vec![])).remove(0);
+    assert_eq!(starts(&rig.beat("vm-2b", 5, EPOCH, vec![])), vec![], "the other zone");
+    rig.withdraw("job-1");
+    rig.commit_all();
+    rig.beat("vm-1", 6, EPOCH, vec![listed(&first, TaskState::Exited(ExitCause::Stopped { saved: false }))]);
+    rig.commit_all();
+    let mut scatter = sample("job-2", "red", 4, 1.0);
+    scatter.spread = true;
+    rig.accept(scatter);
+    assert_eq!(starts(&rig.beat("vm-1", 7, EPOCH, vec![])).len(), 2, "at most half in one zone");
+    assert_eq!(starts(&rig.beat("vm-2b", 7, EPOCH, vec![])).len(), 2);
+}
+
+#[test]
+fn a_guarantee_takes_back_what_others_borrowed_and_equals_take_nothing() {
+    let mut rig = Rig::with_machines(&["vm-1", "vm-2b"]);
+    let mut borrower = sample("job-1", "blue", 2, 8.0);
+    borrower.priority = Priority::Critical;
+    rig.accept(borrower);
+    let a = starts(&rig.beat("vm-1", 5, EPOCH, vec![])).remove(0);
+    let b = starts(&rig.beat("vm-2b", 5, EPOCH, vec![])).remove(0);
+    rig.beat("vm-1", 6, EPOCH, vec![listed(&a, TaskState::Running)]);
+    rig.beat("vm-2b", 6, EPOCH, vec![listed(&b, TaskState::Running)]);
+    rig.accept(sample("job-2", "red", 1, 4.0));
+    rig.pass(5.0);
+    assert_eq!(rig.direct.len(), 1, "one of blue's two is beyond its guarantee");
+    // Beyond its own guarantee of 8 red has no claim.
+    rig.accept(sample("job-3", "red", 4, 4.0));
+    rig.pass(2.0);
+    assert_eq!(rig.direct.len(), 1);
+}
+
+#[test]
+fn no_job_waits_for_ever_behind_a_stream_of_urgent_work() {
+    let mut rig = Rig::with_machines(&["vm-1"]);
+    // Needs a whole machine, and is the least urgent.
+    let mut large = sample("job-1", "red", 1, 8.0);
+    large.priority = Priority::BestEffort;
+    let bound = rig.config.tuning.begin_within.as_secs_f64();
+    let (mut seq, mut n, mut running) = (5, 2, Vec::new());
+    // Two small tasks are always there, one of them half way through.
+    let begin = rig.now;
+    let mut begun = None;
+    rig.accept(sample("job-2", "blue", 2, 4.0));
+    running.extend(starts(&rig.beat("vm-1", 4, EPOCH, vec![])));
+    rig.accept(large);
+    while begun.is_none() && (rig.now - begin).as_secs_f64() < 2.0 * bound {
+        rig.pass(2.0);
+        n += 1;
+        let mut urgent = sample(&format!("job-{n}"), "blue", 1, 4.0);
+        urgent.priority = Priority::Critical;
+        rig.accept(urgent);
+        let mut tasks: Vec<TaskReport> = running.iter().map(|s| listed(s, TaskState::Running)).collect();
+        if !running.is_empty() {
+            tasks[0].state = DONE;
+            running.remove(0);
+        }
+        let started = starts(&rig.beat("vm-1", seq, EPOCH, tasks));
+        rig.commit_all();
+        seq += 1;
+        if started.iter().any(|s| s.0.job == id("job-1")) {
+            begun = Some((rig.now - begin).as_secs_f64());
+        }
+        running.extend(started);
+    }
+    assert!(begun.is_some_and(|after| after < bound), "{begun:?}");
+}
+
+#[test]
+fn lower_priority_gives_way_only_when_an_aim_is_near() {
+    let mut rig = Rig::with_machines(&["vm-1"]);
+    rig.accept(sample("job-1", "blue", 1, 8.0));
+    let low = starts(&rig.beat("vm-1", 5, EPOCH, vec![])).remove(0);
+    rig.beat("vm-1", 6, EPOCH, vec![listed(&low, TaskState::Running)]);
+    let mut urgent = sample("job-2", "blue", 1, 4.0);
+    urgent.priority = Priority::Critical;
+    urgent.estimate_s = 10.0;
+    urgent.deadline_s = Some(30.0);
+    rig.accept(urgent);
+    // It must start within 20 s; room may come free by itself until then.
+    let report = rig.config.settings.cluster.workers.report_s;
+    for seq in 7..9 {
+        rig.pass(report);
+        rig.beat("vm-1", seq, EPOCH, vec![listed(&low, TaskState::Running)]);
+    }
+    assert_eq!(rig.direct, vec![]);
+    for seq in 9..14 {
+        rig.pass(report);
+        rig.beat("vm-1", seq, EPOCH, vec![listed(&low, TaskState::Running)]);
+    }
+    assert_eq!(rig.direct, [Order::Stop { task: low.0.clone(), attempt: low.1, grace_s: 0.0 }]);
+}
+
+#[test]
+fn a_machine_kept_clear_that_fails_is_replaced_by_another() {
+    let mut rig = Rig::with_machines(&["vm-1", "vm-3"]);
+    rig.accept(sample("job-1", "blue", 4, 4.0));
+    let mut running: Vec<_> = ["vm-1", "vm-3"].map(|name| starts(&rig.beat(name, 5, EPOCH, vec![]))).into();
+    let mut large = sample("job-2", "red", 1, 8.0);
+    large.priority = Priority::BestEffort;
+    rig.accept(large);
+    let half = rig.config.tuning.begin_within.as_secs_f64() / 2.0;
+    let mut seq = 5;
+    let mut report = |rig: &mut Rig, at: usize, tasks: &[(TaskId, u64)]| {
+        seq += 1;
+        let tasks = tasks.iter().map(|s| listed(s, TaskState::Running)).collect();
+        starts(&rig.beat(["vm-1", "vm-3"][at], seq, EPOCH, tasks))
+    };
+    for _ in 0..(half / 3.0) as u32 + 1 {
+        rig.pass(3.0);
+        (0..2).for_each(|at| drop(report(&mut rig, at, &running[at])));
+    }
+    let mut urgent = sample("job-3", "blue", 4, 4.0);
+    urgent.priority = Priority::Critical;
+    rig.accept(urgent);
+    // Half of each comes free: the first is kept clear, the second is not.
+    running.iter_mut().for_each(|tasks| drop(tasks.pop()));
+    assert_eq!(report(&mut rig, 0, &running[0]), vec![]);
+    let more = report(&mut rig, 1, &running[1]);
+    running[1].extend(more);
+    assert_eq!(running[1].len(), 2);
+    // Nothing may be placed on the first any more; then it is the second.
+    rig.leader.machines.get_mut(&machine("vm-1")).expect("there").condemned = true;
+    running[1].pop();
+    rig.pass(0.5);
+    assert_eq!(report(&mut rig, 1, &running[1]), vec![]);
+    assert_eq!(report(&mut rig, 1, &[])[0].0.job, id("job-2"));
+}
--- /dev/null
+++ b/src/coordination/tests/records.rs
@@ -0,0 +1,148 @@
+//! Records before rows, and what users are told of them.
+
+use super::*;
+
+#[test]
+fn a_settle_is_recorded_before_the_row_and_before_the_worker_may_forget() {
+    let mut rig = Rig::with_machines(&["vm-1"]);
+    rig.accept(sample("job-1", "red", 1, 1.0));
+    let start = starts(&rig.beat("vm-1", 5, EPOCH, vec![])).remove(0);
+    let orders = rig.beat("vm-1", 6, EPOCH, vec![listed(&start, DONE)]);
+    assert_eq!(orders, vec![], "no reap before the record");
+    assert_ne!(rig.standing("job-1"), Some(Standing::Done), "not told before it is recorded");
+    // A withdrawal now is answered by the settle that is on its way.
+    let to = rig.withdraw("job-1");
+    let written = rig.commit_all();
+    let keys: Vec<Vec<&str>> = written.iter().map(|t| t.changes.iter().map(Change::key).collect()).collect();
+    assert_eq!(keys[0], [record_key(&id("job-1"))]);
+    assert_eq!(keys[1], [over_key(&id("job-1")), live_key(&id("job-1"))]);
+    assert_eq!(told(&rig.answer(to).expect("answered")), "done");
+    let orders = rig.beat("vm-1", 7, EPOCH, vec![listed(&start, DONE)]);
+    assert_eq!(orders, [Order::Forget { task: start.0, attempt: start.1 }]);
+}
+
+#[test]
+fn a_lagging_row_is_repaired_from_the_record_after_a_takeover() {
+    let mut settled = loaded_job(sample("job-1", "red", 1, 1.0));
+    settled.record.settled = true;
+    let mut rig = Rig::new(vec![settled], vec![hired("vm-1", true)]);
+    assert_eq!(rig.standing("job-1"), Some(Standing::Done));
+    assert!(rig.commits.is_empty(), "not while a machine may still hold a task of it");
+    rig.beat("vm-1", 5, EPOCH, vec![]);
+    let moved = rig.commit_all();
+    assert!(moved.iter().any(|t| t.changes.iter().any(|c| c.key() == over_key(&id("job-1")))));
+}
+
+#[test]
+fn a_revived_job_waits_until_no_machine_can_still_hold_its_tasks() {
+    let mut rig = Rig::with_machines(&["vm-1"]);
+    rig.leader.revive(rig.now, MS, vec![loaded_job(sample("job-1", "red", 1, 1.0))]);
+    assert_eq!(starts(&rig.beat("vm-1", 5, EPOCH, vec![])), vec![]);
+    let mut seq = 5;
+    while rig.now < rig.leader.loaded_at + rig.config.takeover_proof() {
+        seq += 1;
+        assert_eq!(starts(&rig.beat("vm-1", seq, EPOCH, vec![])), vec![]);
+        rig.pass(3.0);
+    }
+    assert_eq!(starts(&rig.beat("vm-1", seq + 1, EPOCH, vec![])).len(), 1);
+}
+
+#[test]
+fn a_retry_after_the_end_is_answered_from_the_record() {
+    let mut rig = Rig::with_machines(&["vm-1"]);
+    rig.submit(sample("job-1", "red", 1, 1.0));
+    // The record exists: it was accepted before.
+    rig.fail_commit(StoreError::Conflict);
+    assert_eq!(rig.lookups.len(), 1);
+    // What could not be accepted today may have been accepted earlier.
+    rig.submit(sample("job-2", "nobody", 1, 1.0));
+    let (job, otherwise) = &rig.lookups[1];
+    assert_eq!((job, otherwise.status), (&id("job-2"), 422));
+    rig.submit(sample("job-3", "red", 1, 9.0));
+    assert_eq!(rig.lookups[2].1.status, 422);
+    let mut service = sample("job-4", "red", 5, 4.0);
+    service.form = crate::protocol::jobs::Form::Service;
+    rig.submit(service);
+    assert_eq!(rig.lookups[3].1.status, 422, "all replicas of a service must fit the limit");
+}
+
+#[test]
+fn submissions_beyond_what_can_be_written_are_refused_at_once() {
+    let mut rig = Rig::with_machines(&["vm-1"]);
+    let mut refused = 0;
+    for n in 0..40 {
+        let to = rig.submit(sample(&format!("job-{n}"), "red", 1, 1.0));
+        if let Some(answer) = rig.answer(to) {
+            assert_eq!(answer.status, 429);
+            assert!(answer.retry_after_s.is_some_and(|s| s >= 1));
+            refused += 1;
+        }
+    }
+    assert_eq!(rig.commits.len() + refused, 40);
+    assert!(refused > 0 && rig.commits.len() >= 4);
+}
+
+#[test]
+fn a_job_begins_only_once_its_record_says_so() {
+    let mut rig = Rig::with_machines(&["vm-1"]);
+    rig.accept(sample("job-1", "blue", 1, 8.0));
+    let first = starts(&rig.beat("vm-1", 5, EPOCH, vec![])).remove(0);
+    // Accepted with no room for it: free for a next leader to start.
+    rig.accept(sample("job-2", "red", 2, 1.0));
+    assert_eq!(starts(&rig.beat("vm-1", 6, EPOCH, vec![listed(&first, DONE)])), vec![]);
+    let begun = |t: &Transaction| {
+        t.changes.iter().any(|c| match c {
+            Change::Put { key, value, .. } if *key == record_key(&id("job-2")) => {
+                JobRecord::decode(value).expect("a record").begun == 2
+            }
+            _ => false,
+        })
+    };
+    assert!(rig.commit_all().iter().any(begun));
+    assert_eq!(starts(&rig.beat("vm-1", 7, EPOCH, vec![])).len(), 2);
+    // With room it is accepted as begun, and needs no second write.
+    rig.submit(sample("job-3", "red", 1, 1.0));
+    let Change::Put { value, .. } = &rig.commits[0].1.changes[0] else { panic!("a record") };
+    assert_eq!(JobRecord::decode(value).expect("a record").begun, 1);
+}
+
+/// Acceptances and settles must not queue behind done tasks: with tasks of many
+/// jobs ending at once, only what the state service's allowance has for them is
+/// written, the longest waiting first, and nothing is lost.
+#[test]
+fn done_tasks_are_written_no_faster_than_the_state_service_takes_them() {
+    let names: Vec<String> = (0..60).map(|n| format!("vm-{n}")).collect();
+    let mut rig = Rig::with_machines(&names.iter().map(String::as_str).collect::<Vec<_>>());
+    // Two tasks each, of which one will end.
+    for n in 0..60 {
+        rig.accept(sample(&format!("job-{n}"), "blue", 2, 4.0));
+    }
+    for name in &names {
+        let mut held = starts(&rig.beat(name, 2, EPOCH, vec![]));
+        // The records of some jobs must say first that they begin.
+        rig.commit_all();
+        let sent: Vec<_> = held.iter().map(|s| listed(s, TaskState::Running)).collect();
+        held.extend(starts(&rig.beat(name, 3, EPOCH, sent)));
+        rig.beat(name, 4, EPOCH, held.iter().map(|s| listed(s, TaskState::Running)).collect());
+        // Some machine may be left to another that will report sooner.
+        let Some((ended, rest)) = held.split_first() else { continue };
+        let rest = rest.iter().map(|s| listed(s, TaskState::Running));
+        rig.beat(name, 5, EPOCH, std::iter::once(listed(ended, DONE)).chain(rest).collect());
+    }
+    rig.commits.clear();
+    let records = |rig: &Rig| rig.commits.iter().filter(|(_, t)| t.class == Class::Progress).count();
+    let allowance = rig.config.settings.cluster.state.write_rps;
+    rig.pass(1.0);
+    let first = records(&rig);
+    assert!(first > 0 && first as f64 <= allowance, "{first} of {allowance} a second");
+    let to = rig.submit(sample("job-new", "blue", 1, 1.0));
+    rig.commit_all();
+    assert_eq!(rig.answer(to).map(|a| a.status), Some(201));
+    let mut written = first;
+    for _ in 0..20 {
+        rig.pass(1.0);
+        written += records(&rig);
+        rig.commit_all();
+    }
+    assert!(written >= 30, "only {written} jobs' done tasks were written");
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -136,6 +136,11 @@
         Duration::from_secs_f64(self.lease_s)
     }
 
+    /// Within this time of a confirmed cancellation everything of the job is gone.
+    pub fn cancellation(&self) -> Duration {
+        Duration::from_secs_f64(self.cancel_s)
+    }
+
     pub fn report(&self) -> Duration {
         Duration::from_secs_f64(self.report_s)
     }
