Enter machines that were up before together, and let their first jobs begin at once

Now: machines that show up within a quarter of a report share one record for each kind, which marks them as used at once; it goes out with acceptances; a job accepted while nothing was ever started is recorded as begun; an open rental holds back only machines that may be its own. Tests: a_machine_is_used_only_once_the_record_says_so asked for two writes after each other and now asks for the record's content before the first start, which is as strict; a_list_as_old_as_the_takeover asks for the machine instead of its record's name; a_machine_that_was_not_expected_is_entered_once is new.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -4,6 +4,7 @@
 //! Its mean and spread over the last boots give what is kept; what waits now
 //! adds to it. Machines that no group wants and that stand idle are returned.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use ciborium::value::Value;
@@ -282,7 +283,9 @@
         }
     }
 
-    /// A machine that no record knows: entered first, then used or returned.
+    /// A machine that no record knows: entered first, then used or returned. Those
+    /// that show up together share a record and its write; many do where machines
+    /// were up before the first controller was.
     pub(super) fn meet_unexpected(
         &mut self,
         now: Instant,
@@ -291,27 +294,65 @@
         zone: &str,
         spot: bool,
     ) {
-        let name = format!("x-{id}");
-        if self.catalog.is_empty() || self.hires.contains_key(&name) || self.gone.contains(id) {
+        if self.catalog.is_empty() || self.gone.contains(id) || self.strangers.contains_key(id) {
             return;
         }
         // It may be of a request whose answer is still on its way.
-        if self.hires.values().any(|h| h.record.machines.is_none()) {
+        let asked = |h: &Hire| {
+            let r = &h.record.request;
+            h.record.machines.is_none() && r.machine_type == kind && r.zone == zone && r.spot == spot
+        };
+        if self.hires.values().any(asked) {
             return;
         }
-        tracing::info!(machine = %id, "a machine that was not expected");
-        let request = HireRequest {
-            name: name.clone(),
-            machine_type: kind.to_owned(),
-            zone: zone.to_owned(),
-            spot,
-            count: 1,
-        };
-        let record = HireRecord { request, machines: Some(vec![id.clone()]), used: Default::default() };
-        let hire = Hire { record, version: 0, writing: false, dirty: false, asking: false, asked_at: now };
-        self.hires.insert(name.clone(), hire);
-        self.write_hire(&name);
-        self.meet_hired(now, &name);
+        let option = (kind.to_owned(), zone.to_owned(), spot);
+        self.strangers.insert(id.clone(), option);
+        self.strangers_since.get_or_insert(now);
+    }
+
+    /// Enters the machines that were not expected, each kind in one record. No
+    /// record has named them, so nothing was ever started on them; the record says
+    /// at once that they are used, which saves the write before their first start.
+    pub(super) fn enter_strangers(&mut self, now: Instant) {
+        let wait = self.config.settings.cluster.workers.report() / 4;
+        if self.strangers_since.is_none_or(|since| now < since + wait) {
+            return;
+        }
+        self.strangers_since = None;
+        let mut groups: BTreeMap<(String, String, bool), Vec<MachineId>> = BTreeMap::new();
+        for (id, option) in std::mem::take(&mut self.strangers) {
+            if !self.machines.contains_key(&id) && !self.gone.contains(&id) {
+                groups.entry(option).or_default().push(id);
+            }
+        }
+        for ((machine_type, zone, spot), ids) in groups {
+            for ids in ids.chunks(MAX_HIRE as usize) {
+                self.next_hire += 1;
+                let name = format!("x-{}-{}", self.epoch, self.next_hire);
+                tracing::info!(count = ids.len(), %machine_type, %zone, spot, "machines that were not expected");
+                let request = HireRequest {
+                    name: name.clone(),
+                    machine_type: machine_type.clone(),
+                    zone: zone.clone(),
+                    spot,
+                    count: ids.len() as u32,
+                };
+                let record = HireRecord { request, machines: Some(ids.to_vec()), used: Default::default() };
+                let hire =
+                    Hire { record, version: 0, writing: false, dirty: false, asking: false, asked_at: now };
+                self.hires.insert(name.clone(), hire);
+                self.meet_hired(now, &name);
+                for id in ids {
+                    if let Some(m) = self.machines.get_mut(id) {
+                        m.marking = true;
+                    }
+                }
+                if let Some(hire) = self.hires.get_mut(&name) {
+                    hire.record.used = ids.iter().cloned().collect();
+                }
+                self.write_hire(&name);
+            }
+        }
     }
 
     pub(super) fn hire_written(&mut self, now: Instant, name: String, result: Result<u64, StoreError>) {
--- a/src/coordination/intake.rs
+++ b/src/coordination/intake.rs
@@ -41,8 +41,9 @@
         let job = spec.id.clone();
         let mut record = JobRecord::new(spec, now_ms);
         // With room for some of it, its first start should not wait for a
-        // second write.
-        if self.has_room_for(&record.spec) {
+        // second write; nor where nothing has been started on any machine yet,
+        // since then whatever comes up will be for the jobs that come now.
+        if self.has_room_for(&record.spec) || !self.machines.values().any(|m| m.used) {
             record.begun = record.spec.tasks;
         }
         let conditions = vec![
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -179,6 +179,9 @@
     pub(super) team_index: HashMap<String, usize>,
     pub(super) machines: BTreeMap<MachineId, Machine>,
     pub(super) hires: BTreeMap<String, Hire>,
+    /// Machines that no record names, to be entered together: type, zone, spot.
+    pub(super) strangers: BTreeMap<MachineId, (String, String, bool)>,
+    pub(super) strangers_since: Option<Instant>,
     pub(super) gone: HashSet<MachineId>,
     pub(super) gone_order: VecDeque<MachineId>,
     pub(super) catalog: Vec<MachineType>,
@@ -256,6 +259,8 @@
             team_index,
             machines: BTreeMap::new(),
             hires: BTreeMap::new(),
+            strangers: BTreeMap::new(),
+            strangers_since: None,
             gone: HashSet::default(),
             gone_order: VecDeque::new(),
             catalog: Vec::new(),
@@ -422,6 +427,7 @@
             return;
         }
         self.flush_records(now);
+        self.enter_strangers(now);
         self.prove_silent_machines(now);
         if slow {
             self.begin_next(now);
@@ -725,8 +731,12 @@
         } else {
             Change::Put { key, value: hire.record.encode(), lease: None }
         };
-        // Without the mark of a new machine nothing starts on it.
-        self.commit(Ticket::Hire(name.to_owned()), Class::Settle, conditions, vec![change]);
+        // Without the mark of a new machine nothing starts on it. Machines that were
+        // there before anything was asked for are what the first jobs wait for:
+        // their records do not queue behind a crowd of acceptances.
+        let found = hire.version == 0 && hire.record.machines.is_some();
+        let class = if found { Class::Accept } else { Class::Settle };
+        self.commit(Ticket::Hire(name.to_owned()), class, conditions, vec![change]);
     }
 
     /// A new job as the store now has it.
--- a/src/coordination/tests/renting.rs
+++ b/src/coordination/tests/renting.rs
@@ -42,16 +42,44 @@
 fn a_machine_is_used_only_once_the_record_says_so() {
     let mut rig = Rig::new(Vec::new(), Vec::new());
     rig.accept(sample("job-1", "red", 1, 1.0));
-    // Nobody expected it: entered first, by name, then marked as used.
-    assert_eq!(rig.beat("vm-9", 1, 0, vec![]), vec![]);
-    assert_eq!(rig.beat("vm-9", 2, EPOCH, vec![]), vec![]);
-    assert_eq!(rig.beat("vm-9", 3, EPOCH, vec![]), vec![], "not recorded yet");
-    rig.commit_all();
+    // Nobody expected them: entered first, by name and as used, those of one kind
+    // with one write.
+    let strangers = ["vm-8", "vm-9"];
+    for name in strangers {
+        assert_eq!(rig.beat(name, 1, 0, vec![]), vec![]);
+        assert_eq!(rig.beat(name, 2, EPOCH, vec![]), vec![]);
+    }
     rig.pass(1.1);
-    rig.commit_all();
+    assert_eq!(rig.beat("vm-9", 3, EPOCH, vec![]), vec![], "not recorded yet");
+    let written = rig.commit_all();
+    let of_strangers = |c: &&Change| c.key().starts_with(HIRES) && c.key().contains("x-");
+    let hires: Vec<_> = written.iter().flat_map(|t| &t.changes).filter(of_strangers).collect();
+    let [Change::Put { value, .. }] = hires[..] else { panic!("{hires:?}") };
+    let record = HireRecord::decode(value).expect("readable");
+    assert_eq!(record.used, strangers.map(machine).into_iter().collect());
     assert_eq!(starts(&rig.beat("vm-9", 4, EPOCH, vec![])).len(), 1);
 }
 
+/// Those that report and are listed meanwhile are entered once, and not while a
+/// request of the same kind, type and zone, whose machines they may be, is open.
+#[test]
+fn a_machine_that_was_not_expected_is_entered_once() {
+    let (mut record, version) = hired("vm-1", false);
+    record.machines = None;
+    let mut rig = Rig::new(Vec::new(), vec![(record, version)]);
+    let entered = |rig: &Rig, name: &str| rig.leader.machines.contains_key(&machine(name));
+    rig.beat("vm-8", 1, EPOCH, vec![]);
+    rig.beat("vm-9b", 1, EPOCH, vec![]);
+    rig.pass(1.1);
+    assert!(!entered(&rig, "vm-8") && entered(&rig, "vm-9b"));
+    for seq in 2..5 {
+        rig.beat("vm-9b", seq, EPOCH, vec![]);
+        rig.pass(1.1);
+    }
+    let names: Vec<_> = rig.leader.hires.values().filter_map(|h| h.record.machines.as_ref()).collect();
+    assert_eq!(names, [&[machine("vm-9b")]]);
+}
+
 #[test]
 fn an_unresolved_hire_is_asked_again_under_its_own_name() {
     let (mut record, version) = hired("vm-1", false);
--- a/src/coordination/tests/takeover.rs
+++ b/src/coordination/tests/takeover.rs
@@ -147,8 +147,9 @@
         let answer = Ok(CloudReply::List(ListPage { machines, more: false }));
         rig.leader.cloud_done(rig.now, list.expect("read again and again").0, answer);
         rig.collect();
+        rig.pass(1.0);
         // Still listed when every list must be younger, it is there.
-        assert_eq!(rig.leader.hires.contains_key("x-vm-9"), entered);
+        assert_eq!(rig.leader.machines.contains_key(&machine("vm-9")), entered);
     }
 }
 
