--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -101,15 +101,19 @@
     fn keep_clear_for(&mut self, job: &JobId, machine: &MachineId) -> bool {
         // One that has gone, or that nothing may be placed on, is given up.
         let usable = |id: &&MachineId| self.machines.get(*id).is_some_and(Machine::has_open_room);
+        let (Some(j), Some(m)) = (self.jobs.get(job), self.machines.get(machine)) else { return false };
+        // While its own team is at its limit, or its tasks may still be somewhere,
+        // room would not help it: others must not wait beside an empty machine.
+        if !self.team_has_room(j) || !(self.was_whole || j.unproven == 0) {
+            self.reserved.remove(job);
+            return false;
+        }
         let reserved = self.reserved.get(job).filter(usable);
         if let Some(reserved) = reserved {
             return reserved == machine;
         }
-        let (Some(j), Some(m)) = (self.jobs.get(job), self.machines.get(machine)) else { return false };
         let spec = j.spec();
-        let suits = self.team_has_room(j)
-            && (self.was_whole || j.unproven == 0)
-            && m.has_open_room()
+        let suits = m.has_open_room()
             && self.may_use(spec, m)
             && self.catalog.get(m.kind).is_some_and(|k| Resources::of(spec).fits(&Resources::of_type(k)));
         if suits {
--- a/src/coordination/tests/placing.rs
+++ b/src/coordination/tests/placing.rs
@@ -136,3 +136,51 @@
     assert_eq!(report(&mut rig, 1, &running[1]), vec![]);
     assert_eq!(report(&mut rig, 1, &[])[0].0.job, id("job-2"));
 }
+
+/// A machine kept clear for a job whose team has come to its limit meanwhile helps
+/// nobody: others must not wait beside it.
+#[test]
+fn no_machine_is_kept_clear_for_a_job_whose_team_is_at_its_limit() {
+    let mut rig = Rig::with_machines(&["vm-1", "vm-3", "vm-5", "vm-7"]);
+    let run = |rig: &mut Rig, name: &str, seq, id: &str, team: &str, cpus| {
+        rig.accept(sample(id, team, 1, cpus));
+        let start = starts(&rig.beat(name, seq, EPOCH, vec![])).remove(0);
+        listed(&start, TaskState::Running)
+    };
+    let mut on: Vec<(&str, Vec<TaskReport>)> = vec![
+        ("vm-1", vec![run(&mut rig, "vm-1", 5, "job-1", "blue", 6.0)]),
+        ("vm-3", vec![run(&mut rig, "vm-3", 5, "job-2", "blue", 6.0)]),
+        ("vm-5", vec![run(&mut rig, "vm-5", 5, "job-3", "red", 7.0)]),
+        ("vm-7", vec![run(&mut rig, "vm-7", 5, "job-4", "blue", 6.0)]),
+    ];
+    let mut large = sample("job-5", "red", 1, 8.0);
+    large.priority = Priority::BestEffort;
+    rig.accept(large);
+    let (mut seq, mut kept) = (5, None);
+    while kept.is_none() && seq < 200 {
+        rig.pass(3.0);
+        seq += 1;
+        for (name, tasks) in &on {
+            rig.beat(name, seq, EPOCH, tasks.clone());
+        }
+        kept = rig.leader.reserved.get(&id("job-5")).cloned();
+    }
+    let kept = kept.expect("it has waited for long");
+    // Its team takes what was left of its limit elsewhere.
+    rig.accept(sample("job-6", "red", 1, 2.0));
+    for round in 0..8 {
+        rig.pass(1.0);
+        seq += 1;
+        let (name, tasks) = &mut on[[0, 1, 3, 2][round % 4]];
+        if machine(name) != kept {
+            let begun = starts(&rig.beat(name, seq, EPOCH, tasks.clone()));
+            tasks.extend(begun.iter().map(|start| listed(start, TaskState::Running)));
+        }
+    }
+    assert!(on.iter().flat_map(|(_, tasks)| tasks).any(|t| t.task.job == id("job-6")));
+    rig.accept(sample("job-7", "blue", 1, 2.0));
+    rig.pass(1.0);
+    let (name, tasks) = on.iter().find(|(name, _)| machine(name) == kept).expect("it is there");
+    let begun = starts(&rig.beat(name, seq + 1, EPOCH, tasks.clone()));
+    assert_eq!(begun.iter().map(|s| s.0.job.clone()).collect::<Vec<_>>(), [id("job-7")]);
+}
