--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -276,6 +276,10 @@
         if ranked.starved {
             return j.active.is_empty();
         }
+        // A better place would report too late.
+        if self.prompt_start(j.spec()).is_some() {
+            return true;
+        }
         let here = self.score(now, j, m, now);
         let pending = j.pending();
         // A machine that no demand counts on is left to run empty while the
