Say once how long answers may follow a cancellation, and how stops go straight out

Read over the whole change: the bound of answers after a cancellation stood in the lapse and in the check of stops without effect, and both must agree; now Config::answers_after_cancelling. The direct stop was put together twice: Machine::direct; it notes the sending only where there is one. Fleet records in memory were built in three places: Hire::new. What asked for a time and used only whether there is one is a predicate beside its caller.

--- a/src/coordination/agents.rs
+++ b/src/coordination/agents.rs
@@ -8,11 +8,11 @@
 
 use tokio::time::Instant;
 
-use super::leader::{Action, Leader};
+use super::leader::Leader;
 use super::model::{Phase, Resources, SlotKey, SlotState};
 use crate::maps::HashSet;
 use crate::protocol::jobs::{JobId, TaskId};
-use crate::protocol::workers::{ANSWER_WITHIN, ExitCause, MachineId, Order, Report, TaskReport, TaskState};
+use crate::protocol::workers::{ExitCause, MachineId, Order, Report, TaskReport, TaskState};
 
 /// Most orders in one answer; more follow with the next report. Keeps the
 /// answer well below its size limit.
@@ -409,12 +409,9 @@
             return;
         }
         slot.stop = Some(grace_s);
-        m.stops_sent = Some(now);
-        if let (Ok(address), Some((session, _))) = (m.address.parse(), m.seen) {
-            let task = TaskId { job: key.0.clone(), index: key.1 };
-            let order = Order::Stop { task, attempt: slot.attempt, grace_s };
-            self.actions.push(Action::Direct { address, token: self.epoch, session, orders: vec![order] });
-        }
+        let task = TaskId { job: key.0.clone(), index: key.1 };
+        let order = Order::Stop { task, attempt: slot.attempt, grace_s };
+        self.actions.extend(m.direct(now, self.epoch, vec![order]));
     }
 
     /// The job is over: whatever runs of it is of no use.
@@ -464,11 +461,8 @@
             if m.stops_sent.is_some_and(|at| now < at + pause) {
                 continue;
             }
-            if let (Ok(address), Some((session, _))) = (m.address.parse(), m.seen) {
-                m.stops_sent = Some(now);
-                let orders = stops.into_iter().map(|(_, order)| order).take(MAX_ORDERS).collect();
-                self.actions.push(Action::Direct { address, token: self.epoch, session, orders });
-            }
+            let orders = stops.into_iter().map(|(_, order)| order).take(MAX_ORDERS).collect();
+            self.actions.extend(m.direct(now, self.epoch, orders));
         }
         if !lost.is_empty() {
             tracing::info!(count = lost.len(), "silent machines may hold cancelled tasks; deleting them");
@@ -480,8 +474,7 @@
     /// late that the worker must now lose its lease for it. Counted from the
     /// cancellation, not from stops that were missed.
     fn outlives_its_stops(&self, now: Instant, report: &Report) -> bool {
-        let cancellation = self.config.settings.cluster.workers.cancellation();
-        let patience = cancellation.saturating_sub(self.config.lease_proof() + ANSWER_WITHIN);
+        let patience = self.config.answers_after_cancelling();
         let since = |job: &JobId| self.jobs.get(job).and_then(|j| j.cancelled_at);
         report.tasks.iter().any(|t| {
             !matches!(t.state, TaskState::Exited(_))
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -18,7 +18,7 @@
 use crate::protocol::cloud::{
     HireRequest, ListPage, ListedState, MAX_DELETE, MAX_HIRE, MachineType, encode_catalog,
 };
-use crate::protocol::jobs::{JobId, JobSpec};
+use crate::protocol::jobs::JobId;
 use crate::protocol::state::{Change, Condition};
 use crate::protocol::workers::MachineId;
 use crate::storage::records::{CATALOG, EXPERIENCE, Experience, GroupExperience, HireRecord};
@@ -338,9 +338,7 @@
                     count: ids.len() as u32,
                 };
                 let record = HireRecord { request, machines: Some(ids.to_vec()), used: Default::default() };
-                let hire =
-                    Hire { record, version: 0, writing: false, dirty: false, asking: false, asked_at: now };
-                self.hires.insert(name.clone(), hire);
+                self.hires.insert(name.clone(), Hire::new(record, 0, now));
                 self.meet_hired(now, &name);
                 for id in ids {
                     if let Some(m) = self.machines.get_mut(id) {
@@ -648,17 +646,6 @@
         self.demand.retain(|_, d| d.mean > 0.05 || d.active + d.pending > 0.0);
     }
 
-    /// The time within which the job's users aim at its start, if that is less than
-    /// a report interval: no other machine than one that reports now may be in time.
-    pub(super) fn prompt_start(&self, spec: &JobSpec) -> Option<f64> {
-        let report = self.config.settings.cluster.workers.report_s;
-        let aims = self.config.settings.cluster.objectives.iter();
-        aims.filter(|aim| aim.kind == "wait" && aim.class.as_ref().is_none_or(|c| *c == spec.class))
-            .filter_map(|aim| aim.within_s)
-            .filter(|within| *within > 0.0 && *within < report)
-            .reduce(f64::min)
-    }
-
     /// What a later leader could not find out by itself: demand so far and how
     /// estimates have turned out.
     fn write_experience(&mut self, now: Instant) {
@@ -909,8 +896,7 @@
         tracing::info!(hire = %name, %machine_type, %zone, spot, count, "renting");
         let request = HireRequest { name: name.clone(), machine_type, zone, spot, count };
         let record = HireRecord { request, machines: None, used: Default::default() };
-        let hire = Hire { record, version: 0, writing: false, dirty: false, asking: false, asked_at: now };
-        self.hires.insert(name.clone(), hire);
+        self.hires.insert(name.clone(), Hire::new(record, 0, now));
         self.write_hire(&name);
     }
 
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -144,17 +144,20 @@
         workers.lease().mul_f64(1.002) + workers.report() / 4
     }
 
+    /// How long after a cancellation a worker may still be answered that goes on
+    /// with its tasks: the last answer must leave it time to lose its lease, by the
+    /// proof that leaders go by, before the cancellation must have ended everything;
+    /// less what an answer may take to arrive.
+    pub fn answers_after_cancelling(&self) -> Duration {
+        let cancellation = self.settings.cluster.workers.cancellation();
+        cancellation.saturating_sub(self.lease_proof() + ANSWER_WITHIN)
+    }
+
     /// How long after its lease has lapsed a leader still answers reports,
-    /// without anything but stops.
-    ///
-    /// It may not know of cancellations that another has confirmed since then.
-    /// So what it answers last must leave a worker time to lose its lease, by
-    /// the proof that leaders go by, before such a cancellation must have ended
-    /// everything; less what an answer may take to arrive.
+    /// without anything but stops. It may not know of cancellations that another
+    /// has confirmed since then.
     pub fn grace(&self) -> Duration {
-        let workers = &self.settings.cluster.workers;
-        let cancellation = workers.cancellation().saturating_sub(self.lease_proof() + ANSWER_WITHIN);
-        cancellation.min(workers.lease() / 2)
+        self.answers_after_cancelling().min(self.settings.cluster.workers.lease() / 2)
     }
 
     /// The same proof for a machine that this leader has never answered: an
@@ -302,7 +305,7 @@
             leader.insert_loaded(now, now_ms, job);
         }
         for (record, version) in loaded.hires {
-            let hire = Hire { record, version, writing: false, dirty: false, asking: false, asked_at: now };
+            let hire = Hire::new(record, version, now);
             leader.hires.insert(hire.record.request.name.clone(), hire);
         }
         if let Some((types, version)) = loaded.catalog {
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -5,10 +5,11 @@
 
 use tokio::time::Instant;
 
+use super::leader::Action;
 use crate::maps::HashMap;
 use crate::protocol::cloud::MachineType;
 use crate::protocol::jobs::{Form, JobId, JobSpec, JobStatus, Standing};
-use crate::protocol::workers::MachineId;
+use crate::protocol::workers::{MachineId, Order};
 use crate::storage::done_set::DoneSet;
 use crate::storage::records::{HireRecord, JobRecord};
 
@@ -367,6 +368,14 @@
 }
 
 impl Machine {
+    /// Stops to be sent straight to it, if it is known where it is.
+    pub fn direct(&mut self, now: Instant, token: u64, orders: Vec<Order>) -> Option<Action> {
+        let (session, _) = self.seen?;
+        let address = self.address.parse().ok()?;
+        self.stops_sent = Some(now);
+        Some(Action::Direct { address, token, session, orders })
+    }
+
     pub fn has_image(&self, image: &str) -> bool {
         self.images.iter().any(|(name, _)| name == image)
     }
@@ -410,3 +419,9 @@
     pub asking: bool,
     pub asked_at: Instant,
 }
+
+impl Hire {
+    pub fn new(record: HireRecord, version: u64, now: Instant) -> Self {
+        Hire { record, version, writing: false, dirty: false, asking: false, asked_at: now }
+    }
+}
--- a/src/coordination/node/tests.rs
+++ b/src/coordination/node/tests.rs
@@ -193,6 +193,26 @@
     }
 }
 
+async fn put_record(node: &Node, key: String, value: ciborium::value::Value) {
+    let change = crate::protocol::state::Change::Put { key, value, lease: None };
+    let mut write = crate::storage::stand_in::put(0, "unused", 0);
+    (write.conditions, write.changes) = (Vec::new(), vec![change]);
+    assert!(node.store.commit(write).await.is_ok());
+}
+
+/// A user's call, with whatever the actor tells itself until it is answered.
+async fn ask(node: &mut Node, inputs: &mut Inputs, call: PeerCall) -> Answer {
+    let (reply, answer) = oneshot::channel();
+    node.take_user(call, reply, Origin::User);
+    tokio::pin!(answer);
+    loop {
+        tokio::select! {
+            answer = &mut answer => return answer.expect("answered"),
+            Some(inner) = inputs.inner.recv() => node.take_inner(inner),
+        }
+    }
+}
+
 /// Nobody is forgotten: a follower whose leader cannot be reached, by any
 /// way, answers a poll from the record, within what a user waits.
 #[tokio::test]
@@ -200,22 +220,10 @@
     let (mut node, mut inputs, _front) = rig().await;
     let spec = crate::protocol::jobs::tests::sample("job-1", "red", 1, 1.0);
     let record = JobRecord::new(spec.clone(), 0).encode(8.0);
-    let key = record_key(&spec.id);
-    let change = crate::protocol::state::Change::Put { key, value: record, lease: None };
-    let mut write = crate::storage::stand_in::put(0, "unused", 0);
-    (write.conditions, write.changes) = (Vec::new(), vec![change]);
-    assert!(node.store.commit(write).await.is_ok());
+    put_record(&node, record_key(&spec.id), record).await;
     // Nothing listens where the other two controllers are said to be.
     node.role = Role::Follows { leader: "c-1".into(), epoch: 7 };
-    let (reply, answer) = oneshot::channel();
-    node.take_user(PeerCall::Poll("job-1".into()), reply, Origin::User);
-    tokio::pin!(answer);
-    let answer = loop {
-        tokio::select! {
-            answer = &mut answer => break answer.expect("answered"),
-            Some(inner) = inputs.inner.recv() => node.take_inner(inner),
-        }
-    };
+    let answer = ask(&mut node, &mut inputs, PeerCall::Poll("job-1".into())).await;
     assert_eq!(answer.status, 200);
 }
 
@@ -269,24 +277,12 @@
     let spec = crate::protocol::jobs::tests::sample("job-1", "red", 1, 1.0);
     for (settled, status) in [(false, 503), (true, 200)] {
         let record = JobRecord { settled, ..JobRecord::new(spec.clone(), 0) }.encode(8.0);
-        let change =
-            crate::protocol::state::Change::Put { key: record_key(&spec.id), value: record, lease: None };
-        let mut write = crate::storage::stand_in::put(0, "unused", 0);
-        (write.conditions, write.changes) = (Vec::new(), vec![change]);
-        assert!(node.store.commit(write).await.is_ok());
+        put_record(&node, record_key(&spec.id), record).await;
         let now = Instant::now();
         let mut leader = Leader::new(node.config.clone(), 40, now, 0, Loaded::default());
         leader.extend(now, now + Duration::from_secs(60));
         node.leader = Some(leader);
-        let (reply, answer) = oneshot::channel();
-        node.take_user(PeerCall::Withdraw("job-1".into()), reply, Origin::User);
-        tokio::pin!(answer);
-        let answer = loop {
-            tokio::select! {
-                answer = &mut answer => break answer.expect("answered"),
-                Some(inner) = inputs.inner.recv() => node.take_inner(inner),
-            }
-        };
+        let answer = ask(&mut node, &mut inputs, PeerCall::Withdraw("job-1".into())).await;
         assert_eq!(answer.status, status);
     }
 }
--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -154,6 +154,17 @@
         aims.chain(own).filter(|s| s.is_finite()).map(|s| Duration::from_secs_f64(s.clamp(0.0, 1e7)))
     }
 
+    /// Whether the job's users aim at its start within less than a report interval:
+    /// no other machine than one that reports now may be in time.
+    fn starts_promptly(&self, spec: &JobSpec) -> bool {
+        let report = self.config.settings.cluster.workers.report_s;
+        self.config.settings.cluster.objectives.iter().any(|aim| {
+            aim.kind == "wait"
+                && aim.class.as_ref().is_none_or(|c| *c == spec.class)
+                && aim.within_s.is_some_and(|within| within > 0.0 && within < report)
+        })
+    }
+
     /// Jobs that fit into their team's guarantee together with the team's
     /// earlier unfinished jobs, with what they may still take.
     fn within_guarantees(&self) -> HashMap<JobId, Resources> {
@@ -277,7 +288,7 @@
             return j.active.is_empty();
         }
         // A better place would report too late.
-        if self.prompt_start(j.spec()).is_some() {
+        if self.starts_promptly(j.spec()) {
             return true;
         }
         let here = self.score(now, j, m, now);
