Start prompt work where its image is, and learn images at a takeover

The users count a start from the image on. After a takeover no image was known at all.

Both tests fail without the change.

--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -459,7 +459,11 @@
             self.teams[team].used.add(&room);
         }
         job.slots += 1;
-        job.running += u32::from(state == SlotState::Running);
+        if state == SlotState::Running {
+            job.running += 1;
+            let cache_gb = self.catalog.get(m.kind).map_or(0.0, |k| k.cache_gb);
+            m.note_image(&job.record.spec.image, job.record.spec.image_gb, cache_gb);
+        }
         if wanted {
             job.active.insert(key.1, machine.clone());
         }
--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -154,17 +154,32 @@
         aims.chain(own).filter(|s| s.is_finite()).map(|s| Duration::from_secs_f64(s.clamp(0.0, 1e7)))
     }
 
-    /// Whether the job's users aim at its start within less than a report interval:
-    /// no other machine than one that reports now may be in time.
-    fn starts_promptly(&self, spec: &JobSpec) -> bool {
+    /// Whether a task that starts on the machine now still meets an aim at its start
+    /// that is shorter than a report interval. No machine that reports later could be
+    /// expected to meet it; but one that would have to fetch the image first may miss
+    /// it as surely, and then is compared with the others like any other.
+    fn starts_promptly(&self, now: Instant, job: &Job, machine: &Machine) -> bool {
+        let spec = job.spec();
         let report = self.config.settings.cluster.workers.report_s;
+        let waited = now.saturating_duration_since(job.submitted).as_secs_f64();
+        let start_after = waited + self.fetch_s(spec, machine);
         self.config.settings.cluster.objectives.iter().any(|aim| {
             aim.kind == "wait"
                 && aim.class.as_ref().is_none_or(|c| *c == spec.class)
-                && aim.within_s.is_some_and(|within| within > 0.0 && within < report)
+                && aim.within_s.is_some_and(|within| start_after < within && within < report)
         })
     }
 
+    /// How long the machine is expected to fetch the image of the job.
+    fn fetch_s(&self, spec: &JobSpec, machine: &Machine) -> f64 {
+        match self.catalog.get(machine.kind) {
+            Some(kind) if kind.fetch_gb_per_s > 0.0 && !machine.has_image(&spec.image) => {
+                spec.image_gb / kind.fetch_gb_per_s
+            }
+            _ => 0.0,
+        }
+    }
+
     /// Jobs that fit into their team's guarantee together with the team's
     /// earlier unfinished jobs, with what they may still take.
     fn within_guarantees(&self) -> HashMap<JobId, Resources> {
@@ -288,7 +303,7 @@
             return j.active.is_empty();
         }
         // A better place would report too late.
-        if self.starts_promptly(j.spec()) {
+        if self.starts_promptly(now, j, m) {
             return true;
         }
         let here = self.score(now, j, m, now);
@@ -444,11 +459,7 @@
         let spec = job.spec();
         let Some(kind) = self.catalog.get(machine.kind) else { return f64::MIN };
         let wait = report.saturating_duration_since(now).as_secs_f64();
-        let fetch = if machine.has_image(&spec.image) || kind.fetch_gb_per_s <= 0.0 {
-            0.0
-        } else {
-            spec.image_gb / kind.fetch_gb_per_s
-        };
+        let fetch = self.fetch_s(spec, machine);
         let left = machine.free.cpus - spec.cpus;
         let emptiness = if kind.cpus > 0.0 { left / kind.cpus } else { 0.0 };
         // Work that may run on spot machines leaves the others to work that
--- a/src/coordination/tests/mod.rs
+++ b/src/coordination/tests/mod.rs
@@ -107,7 +107,11 @@
     }
 
     fn tuned(jobs: Vec<LoadedJob>, hires: Vec<(HireRecord, u64)>, tuning: policy::Tuning) -> Self {
-        let config = Arc::new(Config { settings: settings::tests::sample(), tuning });
+        Rig::configured(jobs, hires, Config { settings: settings::tests::sample(), tuning })
+    }
+
+    fn configured(jobs: Vec<LoadedJob>, hires: Vec<(HireRecord, u64)>, config: Config) -> Self {
+        let config = Arc::new(config);
         let now = Instant::now();
         let loaded = Loaded { jobs, hires, catalog: Some((catalog(), 2)), experience: None };
         let mut leader = Leader::new(config.clone(), EPOCH, now, MS, loaded);
--- a/src/coordination/tests/placing.rs
+++ b/src/coordination/tests/placing.rs
@@ -1,6 +1,7 @@
 //! What runs where, and in which order.
 
 use super::*;
+use crate::settings::Objective;
 
 #[test]
 fn together_and_scatter_count_tasks_wherever_they_may_be() {
@@ -184,3 +185,60 @@
     let begun = starts(&rig.beat(name, seq + 1, EPOCH, tasks.clone()));
     assert_eq!(begun.iter().map(|s| s.0.job.clone()).collect::<Vec<_>>(), [id("job-7")]);
 }
+
+/// Settings whose users aim at a start within a third of a report interval.
+fn with_a_prompt_aim() -> Config {
+    let mut settings = settings::tests::sample();
+    settings.cluster.objectives.push(Objective {
+        kind: "wait".into(),
+        class: Some("build".into()),
+        within_s: Some(settings.cluster.workers.report_s / 3.0),
+        share: Some(0.9),
+        times: None,
+    });
+    Config { settings, tuning: policy::tests::tuning() }
+}
+
+fn fetching_for_seconds(id: &str, tasks: u32) -> JobSpec {
+    JobSpec { image_gb: 5.0, ..sample(id, "blue", tasks, 1.0) }
+}
+
+/// A start on a machine that has to fetch the image first is not prompt: it took
+/// longer than any report does, while machines with the image had room.
+#[test]
+fn prompt_work_goes_to_a_machine_that_has_its_image() {
+    let hires = ["vm-1", "vm-3"].map(|name| hired(name, true)).into();
+    let mut rig = Rig::configured(Vec::new(), hires, with_a_prompt_aim());
+    for name in ["vm-1", "vm-3"] {
+        rig.beat(name, 1, EPOCH, vec![]);
+    }
+    // Nobody has the image: whoever reports first starts it.
+    rig.accept(fetching_for_seconds("job-1", 1));
+    let first = starts(&rig.beat("vm-3", 2, EPOCH, vec![])).remove(0);
+    rig.beat("vm-3", 3, EPOCH, vec![listed(&first, TaskState::Running)]);
+    rig.accept(fetching_for_seconds("job-2", 1));
+    rig.pass(0.5);
+    assert_eq!(rig.beat("vm-1", 2, EPOCH, vec![]), vec![]);
+    let second = starts(&rig.beat("vm-3", 4, EPOCH, vec![listed(&first, TaskState::Running)]));
+    assert_eq!(second[0].0.job, id("job-2"));
+}
+
+/// After a takeover what runs on a machine shows which images it has; they were
+/// taken to be nowhere, so that every start went by other things.
+#[test]
+fn a_new_leader_learns_images_from_what_runs() {
+    let jobs = vec![loaded_job(fetching_for_seconds("job-1", 1))];
+    let hires = ["vm-1", "vm-3"].map(|name| hired(name, true)).into();
+    let mut rig = Rig::configured(jobs, hires, with_a_prompt_aim());
+    let running = TaskReport {
+        task: TaskId { job: id("job-1"), index: 0 },
+        attempt: EPOCH << 31,
+        state: TaskState::Running,
+    };
+    rig.beat("vm-1", 1, EPOCH, vec![]);
+    rig.beat("vm-3", 1, EPOCH, vec![running.clone()]);
+    rig.accept(fetching_for_seconds("job-2", 1));
+    rig.pass(0.5);
+    assert_eq!(rig.beat("vm-1", 2, EPOCH, vec![]), vec![]);
+    assert_eq!(starts(&rig.beat("vm-3", 2, EPOCH, vec![running]))[0].0.job, id("job-2"));
+}
