Move replicas off machines that no demand counts on

All 24 gergasi-32 stayed to the end for the replicas that the first seconds had put there, a quarter of them empty; in the last 200 s 1,752 ordinary CPUs were paid for 1,092 in use, 21 machines of the cheaper types stood wholly idle: the plan counted on those, and the replicas never moved.

Change: a machine that no demand has counted on for half a boot, with nothing but settled replicas, is emptied if machines that stay have room and their images.

--- /dev/null
+++ b/src/coordination/consolidation.rs
@@ -0,0 +1,98 @@
+//! Moves replicas of services off machines that no demand counts on.
+//!
+//! Services do not end by themselves: a machine that was rented for a peak, or that
+//! is dearer than others by now, would otherwise be paid for as long as a single
+//! replica runs on it. A replica is down from its stop until it starts elsewhere, so
+//! one is moved only when a machine that stays has room for it and its image, few
+//! are moved at a time, and none soon after its start.
+
+use tokio::time::Instant;
+
+use super::leader::Leader;
+use super::model::{Machine, Phase, Resources, SlotKey, SlotState};
+use crate::maps::HashMap;
+use crate::protocol::workers::MachineId;
+
+/// A replica stays where it started for this many report intervals.
+const SETTLED_REPORTS: u32 = 10;
+
+impl Leader {
+    /// Chooses at most one machine to empty, once all replicas moved before run again.
+    pub(super) fn consolidate(&mut self, now: Instant) {
+        let steady = self.was_whole && !self.cloud_is_down(now) && self.clear_since.is_some();
+        for machine in self.machines.values_mut().filter(|m| m.draining) {
+            machine.draining = steady && !machine.wanted;
+        }
+        let waiting = self.jobs.values().any(|job| job.is_service() && job.pending() > 0);
+        if !steady || waiting {
+            return;
+        }
+        let Some(machine) = self.machine_to_empty(now) else { return };
+        let Some(emptied) = self.machines.get_mut(&machine) else { return };
+        emptied.draining = true;
+        let replicas: Vec<SlotKey> = emptied.slots.keys().cloned().collect();
+        tracing::info!(%machine, replicas = replicas.len(), "moving replicas elsewhere");
+        for replica in replicas {
+            self.order_stop(now, &machine, &replica, 0.0);
+        }
+    }
+
+    /// The dearest machine that holds nothing but replicas for which others have room.
+    fn machine_to_empty(&self, now: Instant) -> Option<MachineId> {
+        let mut candidates: Vec<&Machine> =
+            self.machines.values().filter(|m| self.may_be_emptied(now, m)).collect();
+        candidates.sort_by(|a, b| {
+            let by_price = self.price_per_cpu(b).total_cmp(&self.price_per_cpu(a));
+            by_price.then(a.slots.len().cmp(&b.slots.len()))
+        });
+        candidates.into_iter().find(|m| self.others_have_room(m)).map(|m| m.id.clone())
+    }
+
+    fn may_be_emptied(&self, now: Instant, machine: &Machine) -> bool {
+        let settled = self.config.settings.cluster.workers.report() * SETTLED_REPORTS;
+        let boot = self.longest_boot();
+        machine.phase == Phase::Up
+            && machine.open()
+            && !machine.doubted
+            && machine.unwanted_since.is_some_and(|since| now >= since + boot / 2)
+            && !machine.slots.is_empty()
+            && machine.slots.iter().all(|(key, slot)| {
+                slot.state == SlotState::Running
+                    && slot.wanted
+                    && slot.stop.is_none()
+                    && now >= slot.since + settled
+                    && self.jobs.get(&key.0).is_some_and(|job| job.is_live() && job.is_service())
+            })
+    }
+
+    fn price_per_cpu(&self, machine: &Machine) -> f64 {
+        self.catalog.get(machine.kind).map_or(0.0, |kind| {
+            (if machine.spot { kind.spot_price } else { kind.price }) / kind.cpus.max(1.0)
+        })
+    }
+
+    /// Whether machines that stay have room, and the images, for all its replicas.
+    fn others_have_room(&self, machine: &Machine) -> bool {
+        let mut taken: HashMap<&MachineId, Resources> = HashMap::default();
+        machine.slots.keys().all(|(id, _)| {
+            let Some(job) = self.jobs.get(id) else { return false };
+            let need = Resources::of(job.spec());
+            let target = self.machines.values().find(|other| {
+                let mut room = other.free;
+                if let Some(taken) = taken.get(&other.id) {
+                    room.sub(taken);
+                }
+                other.wanted
+                    && other.id != machine.id
+                    && other.has_open_room()
+                    && need.fits(&room)
+                    && other.has_image(&job.spec().image)
+                    && self.eligible(job, other)
+            });
+            target.is_some_and(|other| {
+                taken.entry(&other.id).or_default().add(&need);
+                true
+            })
+        })
+    }
+}
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -274,6 +274,8 @@
                 unlisted: u32::from(was_used),
                 listed: was_used,
                 wanted: true,
+                unwanted_since: None,
+                draining: false,
             };
             self.machines.insert(id, machine);
             if was_used {
@@ -584,7 +586,9 @@
         let wanted = self.rent(now);
         for m in self.machines.values_mut() {
             m.wanted = wanted.contains(&m.id);
+            m.unwanted_since = if m.wanted { None } else { m.unwanted_since.or(Some(now)) };
         }
+        self.consolidate(now);
         self.give_back(now, &wanted);
     }
 
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod agents;
 pub mod cloud;
+mod consolidation;
 pub mod election;
 pub mod fleet;
 pub mod intake;
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -365,6 +365,10 @@
     pub listed: bool,
     /// Some demand counts on it; others are left to run empty.
     pub wanted: bool,
+    /// Since when no demand has counted on it.
+    pub unwanted_since: Option<Instant>,
+    /// Its replicas are being moved elsewhere: nothing is placed on it.
+    pub draining: bool,
 }
 
 impl Machine {
@@ -404,6 +408,7 @@
             && self.used
             && !self.condemned
             && !self.foreign
+            && !self.draining
             && self.taken_at.is_none()
     }
 }
--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -162,7 +162,12 @@
         let spec = job.spec();
         let report = self.config.settings.cluster.workers.report_s;
         let waited = now.saturating_duration_since(job.submitted).as_secs_f64();
-        let start_after = waited + self.fetch_s(spec, machine);
+        let fetch = self.fetch_s(spec, machine);
+        if job.is_service() && !job.active.is_empty() && fetch <= 0.0 {
+            // One of its replicas is down: each second counts.
+            return true;
+        }
+        let start_after = waited + fetch;
         self.config.settings.cluster.objectives.iter().any(|aim| {
             aim.kind == "wait"
                 && aim.class.as_ref().is_none_or(|c| *c == spec.class)
@@ -414,7 +419,7 @@
     }
 
     /// What the rules demand of a machine for the job's next task.
-    fn eligible(&self, job: &Job, machine: &Machine) -> bool {
+    pub(super) fn eligible(&self, job: &Job, machine: &Machine) -> bool {
         let spec = job.spec();
         if !machine.open()
             || !Resources::of(spec).fits(&machine.free)
--- a/src/coordination/tests/mod.rs
+++ b/src/coordination/tests/mod.rs
@@ -25,7 +25,7 @@
 use crate::protocol::cbor::{Fields, decode};
 use crate::protocol::cloud::{HireRequest, ListPage, Listed, ListedState, MachineType};
 use crate::protocol::jobs::tests::sample;
-use crate::protocol::jobs::{JobId, JobSpec, Priority, Standing, TaskId};
+use crate::protocol::jobs::{Form, JobId, JobSpec, Priority, Standing, TaskId};
 use crate::protocol::state::Change;
 use crate::protocol::workers::{ANSWER_WITHIN, ExitCause, MachineId, Order, Report, TaskReport, TaskState};
 use crate::settings;
--- a/src/coordination/tests/renting.rs
+++ b/src/coordination/tests/renting.rs
@@ -303,3 +303,74 @@
     assert!(close(drains[0], work / 120.0) && close(drains[11], work / 60.0), "{drains:?}");
     assert!(drains.windows(2).all(|pair| pair[0] <= pair[1] + 1e-9), "{drains:?}");
 }
+
+/// A service with one replica on each of two machines, one of which would do.
+fn spread_over_two(images: [&str; 2]) -> (Rig, [(TaskId, u64); 2]) {
+    let hires = ["vm-1", "vm-3"].map(|name| hired(name, true)).into();
+    let mut rig = Rig::new(Vec::new(), hires);
+    for name in ["vm-1", "vm-3"] {
+        rig.beat(name, 1, EPOCH, vec![]);
+    }
+    let service = |id: &str, image: &str| JobSpec {
+        form: Form::Service,
+        image: image.into(),
+        spot: false,
+        ..sample(id, "blue", 1, 2.0)
+    };
+    rig.accept(service("job-1", images[0]));
+    let first = starts(&rig.beat("vm-1", 2, EPOCH, vec![])).remove(0);
+    rig.accept(service("job-2", images[1]));
+    let second = starts(&rig.beat("vm-3", 2, EPOCH, vec![])).remove(0);
+    (rig, [first, second])
+}
+
+/// Plays two minutes; returns which replica was told to stop, if any.
+fn stopped_within_two_minutes(rig: &mut Rig, replicas: &[(TaskId, u64); 2]) -> Option<usize> {
+    let interval = rig.config.settings.cluster.workers.report_s;
+    for seq in 3..43 {
+        rig.pass(interval);
+        for (name, replica) in ["vm-1", "vm-3"].into_iter().zip(replicas) {
+            rig.beat(name, seq, EPOCH, vec![listed(replica, TaskState::Running)]);
+        }
+        let stopped = replicas.iter().position(|r| rig.direct.contains(&stop(r)));
+        if stopped.is_some() {
+            return stopped;
+        }
+    }
+    None
+}
+
+fn stop(replica: &(TaskId, u64)) -> Order {
+    Order::Stop { task: replica.0.clone(), attempt: replica.1, grace_s: 0.0 }
+}
+
+/// Services do not end: machines that were rented for a peak stayed for as long as a
+/// single replica ran on them, beside others with room.
+#[test]
+fn replicas_move_off_a_machine_that_no_demand_counts_on() {
+    let (mut rig, replicas) = spread_over_two(["img-1", "img-1"]);
+    let moved = stopped_within_two_minutes(&mut rig, &replicas).expect("one machine would do");
+    let (from, to) = if moved == 0 { ("vm-1", "vm-3") } else { ("vm-3", "vm-1") };
+    let stays = listed(&replicas[1 - moved], TaskState::Running);
+    // Until it is proven gone it runs nowhere else, and nothing starts beside it.
+    assert_eq!(rig.beat(to, 50, EPOCH, vec![stays.clone()]), vec![]);
+    let ended = TaskState::Exited(ExitCause::Stopped { saved: false });
+    assert_eq!(starts(&rig.beat(from, 50, EPOCH, vec![listed(&replicas[moved], ended)])), vec![]);
+    let again = starts(&rig.beat(to, 51, EPOCH, vec![stays]));
+    assert_eq!(again[0].0, replicas[moved].0);
+    rig.cloud.clear();
+    for seq in 52..82 {
+        rig.pass(3.0);
+        assert_eq!(starts(&rig.beat(from, seq, EPOCH, vec![])), vec![]);
+        let both = [&replicas[1 - moved], &again[0]].map(|r| listed(r, TaskState::Running));
+        rig.beat(to, seq, EPOCH, both.into());
+    }
+    assert!(rig.cloud.iter().any(|(_, call)| *call == CloudCall::Delete(vec![machine(from)])));
+}
+
+/// Fetching an image takes longer than a replica may be down for a move.
+#[test]
+fn replicas_stay_where_no_other_machine_has_their_image() {
+    let (mut rig, replicas) = spread_over_two(["img-1", "img-2"]);
+    assert_eq!(stopped_within_two_minutes(&mut rig, &replicas), None);
+}
