Hold answers to reports where a prompt start is likely; image first

Change: the empty answer to a report of a machine with nothing but replicas is held, for less than a report interval, half the worker's patience and a quarter of its lease, and sent as soon as there is an order; only where an aim at a start is shorter than the interval. What it says is decided when it is sent. Room with the image is counted over all machines with room, not over the sample.

--- a/src/coordination/agents.rs
+++ b/src/coordination/agents.rs
@@ -123,6 +123,61 @@
         ReportReply::Orders { token: epoch, orders }
     }
 
+    /// Whether the empty answer to a report that was just taken is to be held, since a
+    /// prompt start on the machine is likely. A machine with tasks that end by
+    /// themselves is not held up: its next report may tell of room or results.
+    pub fn may_hold(&self, report: &Report) -> bool {
+        report.token == self.epoch
+            && report.notice_s.is_none()
+            && report.tasks.iter().all(|task| {
+                task.state == TaskState::Running
+                    && self.jobs.get(&task.task.job).is_some_and(|job| job.is_live() && job.is_service())
+            })
+            && self.machines.get(&report.machine).is_some_and(|m| self.expects_prompt_start(m))
+    }
+
+    /// Decides the answer to a report that was taken before and held since: what it
+    /// listed is in the picture already, unless a newer one was taken.
+    pub fn answer_held(&mut self, now: Instant, report: &Report) -> ReportReply {
+        let stamp = (report.session, report.seq);
+        let current = self.machines.get(&report.machine).is_some_and(|m| m.seen == Some(stamp));
+        if self.is_over() || !current || self.outlives_its_stops(now, report) {
+            return ReportReply::Elsewhere;
+        }
+        if !self.valid(now) {
+            return self.report_in_grace(now, report);
+        }
+        let mut orders = self.stops_and_reaps(report);
+        if orders.len() < MAX_ORDERS && !self.machines.get(&report.machine).is_some_and(|m| m.doubted) {
+            let room = MAX_ORDERS - orders.len();
+            self.fill(now, &report.machine, report.seq, room, &mut orders);
+        }
+        ReportReply::Orders { token: self.epoch, orders }
+    }
+
+    /// Machines with held answers that should be decided anew, those first whose room
+    /// should be used first.
+    pub fn to_decide<'a>(&mut self, held: impl Iterator<Item = &'a MachineId>) -> Vec<MachineId> {
+        let ordered = std::mem::take(&mut self.ordered);
+        if !std::mem::take(&mut self.prompt_work) {
+            return ordered;
+        }
+        let waiting: Vec<&str> = self
+            .jobs
+            .values()
+            .filter(|job| job.pending() > 0 && self.has_prompt_aim(job.spec()))
+            .map(|job| job.spec().image.as_str())
+            .collect();
+        let mut machines: Vec<MachineId> = held.cloned().collect();
+        machines.sort_by_cached_key(|id| {
+            let m = self.machines.get(id);
+            let lacks_image = !m.is_some_and(|m| waiting.iter().any(|image| m.has_image(image)));
+            let free = m.map_or(0.0, |m| m.free.cpus).max(0.0).to_bits();
+            (lacks_image, m.is_none_or(|m| !m.wanted), free, id.clone())
+        });
+        machines
+    }
+
     /// Whether the machine is doubted to hear us, and may be tried all the same.
     fn judge_hearing(&mut self, now: Instant, machine: &MachineId) -> (bool, bool) {
         let workers = &self.config.settings.cluster.workers;
@@ -412,6 +467,7 @@
         let task = TaskId { job: key.0.clone(), index: key.1 };
         let order = Order::Stop { task, attempt: slot.attempt, grace_s };
         self.actions.extend(m.direct(now, self.epoch, vec![order]));
+        self.ordered.push(machine.clone());
     }
 
     /// The job is over: whatever runs of it is of no use.
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -16,7 +16,7 @@
 use super::cloud::{CloudCall, CloudResult};
 use super::fleet::{Backoff, Demand, GroupKey, ListRound};
 use super::model::{Hire, Job, Machine, Phase, ReplyTo, Resources, Slot, SlotKey, SlotState, Team, Written};
-use super::scheduler::Ranked;
+use super::scheduler::{PromptNeed, Ranked};
 use crate::maps::{HashMap, HashSet};
 use crate::policy::Tuning;
 use crate::protocol::cbor::{MapBuilder, encode};
@@ -227,6 +227,12 @@
     pub(super) slow_tick_at: Instant,
     pub(super) was_whole: bool,
     pub(super) refused: u64,
+    /// Classes of jobs that are to start within less than a report interval.
+    pub(super) prompt_classes: HashMap<String, PromptNeed>,
+    /// Work that is to start promptly has come to wait.
+    pub(super) prompt_work: bool,
+    /// Machines for which there is an order that should not wait.
+    pub(super) ordered: Vec<MachineId>,
     pub(super) actions: Vec<Action>,
     pub(super) rng: SmallRng,
     fenced: bool,
@@ -296,6 +302,9 @@
             slow_tick_at: now,
             was_whole: false,
             refused: 0,
+            prompt_classes: HashMap::default(),
+            prompt_work: false,
+            ordered: Vec::new(),
             actions: Vec::new(),
             rng: SmallRng::seed_from_u64(epoch ^ now_ms),
             fenced: false,
@@ -490,6 +499,7 @@
             job.active.remove(&key.1);
             if !job.record.done.contains(key.1) {
                 job.returned.insert(key.1);
+                self.prompt_work |= job.is_service();
                 // A job that had nothing waiting is not in the queue.
                 if job.pending() == 1 {
                     self.queue_at = None;
@@ -620,6 +630,7 @@
                     }
                 }
                 j.recorded = written.done;
+                self.prompt_work |= written.begun > j.begun;
                 j.begun = written.begun;
                 j.record.cancelled = written.cancelled;
                 j.cancelled_at = written.cancelled.then_some(now);
@@ -751,6 +762,8 @@
         let count = blocks(record.spec.tasks, self.config.settings.cluster.state.value_kb);
         let mut job = Job::new(record, version, version, now, count);
         job.team = self.team_index.get(&job.spec().team).copied();
+        self.note_prompt_class(job.spec());
+        self.prompt_work |= self.has_prompt_aim(job.spec());
         self.jobs.insert(job.id().clone(), job);
         self.queue_at = None;
     }
@@ -847,6 +860,7 @@
         entry.unproven = entry.begun;
         entry.cancelled_at = entry.record.cancelled.then_some(now);
         entry.team = self.team_index.get(&entry.spec().team).copied();
+        self.note_prompt_class(entry.spec());
         self.jobs.insert(entry.id().clone(), entry);
     }
 
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -6,6 +6,7 @@
 mod consolidation;
 pub mod election;
 pub mod fleet;
+mod held_reports;
 pub mod intake;
 pub mod leader;
 mod loading;
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -11,6 +11,7 @@
 use super::agents::ReportReply;
 use super::cloud::{Cloud, CloudResult};
 use super::election::Role;
+use super::held_reports::{HeldReport, HeldReports};
 use super::leader::{Action, Answer, Config, Leader, Loaded, LoadedJob};
 use super::loading::{load, walk};
 use super::model::ReplyTo;
@@ -221,6 +222,7 @@
     abandoned: watch::Sender<u64>,
     ready: watch::Sender<bool>,
     leader: Option<Leader>,
+    held: HeldReports<oneshot::Sender<Answer>>,
     waiting: HashMap<ReplyTo, (Reply, Instant)>,
     next_reply: u64,
     lookups: usize,
@@ -294,6 +296,7 @@
         let now = Instant::now();
         let peers = Peers::new(links.keys().cloned(), config.tuning.lease);
         let detours = Detours::new(config.settings.cluster.workers.lease());
+        let held = HeldReports::new(&config);
         let node = Node {
             config,
             store,
@@ -309,6 +312,7 @@
             abandoned,
             ready,
             leader: None,
+            held,
             waiting: HashMap::default(),
             next_reply: 0,
             lookups: 0,
@@ -391,6 +395,9 @@
         for (_, (reply, _)) in self.waiting.drain() {
             let _ = reply.send(Answer::later(503, "leadership has changed", 1));
         }
+        for held in self.held.drain() {
+            let _ = held.reply.send(Answer::new(421, &report_elsewhere(None)));
+        }
     }
 
     fn load(&self, epoch: u64) {
@@ -478,6 +485,7 @@
         if let Some(leader) = &mut self.leader {
             leader.tick(now);
         }
+        self.end_holds();
         let late: Vec<ReplyTo> = self
             .waiting
             .iter()
@@ -602,13 +610,54 @@
             None => ReportReply::Elsewhere,
         };
         let answer = match reply {
-            ReportReply::Orders { token, orders } => Answer::new(200, &report_answer(token, &orders)),
+            ReportReply::Orders { token, orders } => {
+                // One that was handed on is waited for by the controller between.
+                let direct = message.body.is_some();
+                if direct
+                    && orders.is_empty()
+                    && self.leader.as_ref().is_some_and(|l| l.may_hold(&message.report))
+                {
+                    return self.hold(now, message);
+                }
+                Answer::new(200, &report_answer(token, &orders))
+            }
             ReportReply::Elsewhere => return self.send_elsewhere(now, message),
         };
         let _ = message.reply.send(answer);
         self.statistics.report(message.arrived);
     }
 
+    fn hold(&mut self, now: Instant, message: ReportMessage) {
+        if let Some(earlier) = self.held.hold(now, message.report, message.reply) {
+            let _ = earlier.reply.send(Answer::new(421, &report_elsewhere(None)));
+        }
+    }
+
+    /// Sends the held answers whose time is over, as the leader decides them now.
+    fn end_holds(&mut self) {
+        let now = Instant::now();
+        let Some(leader) = &mut self.leader else { return };
+        for HeldReport { report, reply, .. } in self.held.expired(now) {
+            let _ = reply.send(held_answer(leader.answer_held(now, &report)));
+        }
+    }
+
+    /// Sends the held answers for which there are orders now.
+    fn answer_held(&mut self) {
+        let now = Instant::now();
+        let Some(leader) = &mut self.leader else { return };
+        for machine in leader.to_decide(self.held.machines()) {
+            let Some(held) = self.held.get(&machine) else { continue };
+            let decided = leader.answer_held(now, &held.report);
+            if matches!(&decided, ReportReply::Orders { orders, .. } if orders.is_empty()) {
+                continue;
+            }
+            if let Some(held) = self.held.remove(&machine) {
+                let _ = held.reply.send(held_answer(decided));
+            }
+        }
+    }
+
     /// For the leader: the worker is sent there. If it comes back it cannot
     /// reach it, as in a cut between two zones, and its report is handed on.
     /// The leader's answer, under its token and lease, goes back unchanged; an
@@ -853,6 +902,7 @@
     }
 
     fn carry_out(&mut self) {
+        self.answer_held();
         let Some(leader) = &mut self.leader else { return };
         let epoch = leader.epoch();
         for action in leader.take_actions() {
@@ -907,6 +957,13 @@
     }
 }
 
+fn held_answer(reply: ReportReply) -> Answer {
+    match reply {
+        ReportReply::Orders { token, orders } => Answer::new(200, &report_answer(token, &orders)),
+        ReportReply::Elsewhere => Answer::new(421, &report_elsewhere(None)),
+    }
+}
+
 fn refuse_malformed(error: &Malformed) -> Answer {
     Answer::refused(400, &error.to_string())
 }
--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -31,6 +31,13 @@
     spot: bool,
 }
 
+/// What a task of a class that is to start promptly takes.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct PromptNeed {
+    task: Resources,
+    spot: bool,
+}
+
 impl Ranked {
     fn order(&self, other: &Self) -> Ordering {
         other
@@ -154,25 +161,55 @@
         aims.chain(own).filter(|s| s.is_finite()).map(|s| Duration::from_secs_f64(s.clamp(0.0, 1e7)))
     }
 
+    /// The aims at the job's start that are shorter than a report interval.
+    fn prompt_aims<'a>(&'a self, spec: &'a JobSpec) -> impl Iterator<Item = f64> + 'a {
+        let report = self.config.settings.cluster.workers.report_s;
+        self.config
+            .settings
+            .cluster
+            .objectives
+            .iter()
+            .filter(|aim| aim.kind == "wait" && aim.class.as_ref().is_none_or(|c| *c == spec.class))
+            .filter_map(|aim| aim.within_s)
+            .filter(move |&within| within < report)
+    }
+
+    pub(super) fn has_prompt_aim(&self, spec: &JobSpec) -> bool {
+        self.prompt_aims(spec).next().is_some()
+    }
+
     /// Whether a task that starts on the machine now still meets an aim at its start
     /// that is shorter than a report interval. No machine that reports later could be
     /// expected to meet it; but one that would have to fetch the image first may miss
     /// it as surely, and then is compared with the others like any other.
     fn starts_promptly(&self, now: Instant, job: &Job, machine: &Machine) -> bool {
-        let spec = job.spec();
-        let report = self.config.settings.cluster.workers.report_s;
         let waited = now.saturating_duration_since(job.submitted).as_secs_f64();
-        let fetch = self.fetch_s(spec, machine);
+        let fetch = self.fetch_s(job.spec(), machine);
         if job.is_service() && !job.active.is_empty() && fetch <= 0.0 {
             // One of its replicas is down: each second counts.
             return true;
         }
-        let start_after = waited + fetch;
-        self.config.settings.cluster.objectives.iter().any(|aim| {
-            aim.kind == "wait"
-                && aim.class.as_ref().is_none_or(|c| *c == spec.class)
-                && aim.within_s.is_some_and(|within| start_after < within && within < report)
-        })
+        self.prompt_aims(job.spec()).any(|within| waited + fetch < within)
+    }
+
+    /// Notes what a job takes whose class is to start promptly: others like it are
+    /// likely to come.
+    pub(super) fn note_prompt_class(&mut self, spec: &JobSpec) {
+        const CLASSES: usize = 64;
+        let known = self.prompt_classes.contains_key(&spec.class);
+        if self.has_prompt_aim(spec) && (known || self.prompt_classes.len() < CLASSES) {
+            let need = PromptNeed { task: Resources::of(spec), spot: spec.spot };
+            self.prompt_classes.insert(spec.class.clone(), need);
+        }
+    }
+
+    /// Whether jobs that are to start promptly may use room on the machine.
+    pub(super) fn expects_prompt_start(&self, machine: &Machine) -> bool {
+        machine.has_open_room()
+            && self
+                .prompt_classes
+                .values()
+                .any(|need| need.task.fits(&machine.free) && (need.spot || !machine.spot))
     }
 
     /// How long the machine is expected to fetch the image of the job.
@@ -311,6 +348,11 @@
         if self.starts_promptly(now, j, m) {
             return true;
         }
+        // Machines that have the image report sooner than this one has fetched it. All
+        // are counted, since a sample would let one of many machines start it too early.
+        if self.has_prompt_aim(j.spec()) && self.fetch_s(j.spec(), m) > 0.0 && self.has_room_with_image(j) {
+            return false;
+        }
         let here = self.score(now, j, m, now);
         let pending = j.pending();
         // A machine that no demand counts on is left to run empty while the
@@ -362,13 +404,23 @@
         (found, share * self.roomy.len() as f64)
     }
 
-    /// Whether all that waits of the job fits on machines that demand counts on,
-    /// of those that had room when the queue was last ordered.
+    /// Whether all that waits of the job fits on machines that demand counts on.
     fn has_room_on_wanted(&self, job: &Job) -> bool {
+        self.has_room_where(job, |m| m.wanted)
+    }
+
+    /// Whether all that waits of the job fits on machines that have its image.
+    fn has_room_with_image(&self, job: &Job) -> bool {
+        self.has_room_where(job, |m| m.has_image(&job.spec().image))
+    }
+
+    /// Whether all that waits of the job fits on such machines, of those that had room
+    /// when the queue was last ordered.
+    fn has_room_where(&self, job: &Job, suits: impl Fn(&Machine) -> bool) -> bool {
         let need = Resources::of(job.spec());
         let mut left = job.pending();
         for m in self.roomy.iter().filter_map(|id| self.machines.get(id)) {
-            if m.wanted && need.fits(&m.free) && !m.doubted && self.eligible(job, m) {
+            if suits(m) && need.fits(&m.free) && !m.doubted && self.eligible(job, m) {
                 left = left.saturating_sub(need.times_in(&m.free));
                 if left == 0 {
                     return true;
--- a/src/coordination/tests/mod.rs
+++ b/src/coordination/tests/mod.rs
@@ -200,21 +200,26 @@
         notice_s: Option<f64>,
         tasks: Vec<TaskReport>,
     ) -> ReportReply {
-        let report = Report {
+        let report = Report { session, token, notice_s, ..self.reported(name, seq, tasks) };
+        let reply = self.leader.report(self.now, &report);
+        self.collect();
+        reply
+    }
+
+    /// A report of the first session under this epoch's token, not sent yet.
+    fn reported(&self, name: &str, seq: u64, tasks: Vec<TaskReport>) -> Report {
+        Report {
             machine: machine(name),
             address: "127.0.0.1:9".into(),
             machine_type: "m8".into(),
             zone: if name.ends_with('b') { "z2".into() } else { "z1".into() },
             spot: false,
-            session,
+            session: 1,
             seq,
-            token,
-            notice_s,
+            token: EPOCH,
+            notice_s: None,
             tasks,
-        };
-        let reply = self.leader.report(self.now, &report);
-        self.collect();
-        reply
+        }
     }
 
     /// A report of the first session; returns the orders.
--- a/src/coordination/tests/placing.rs
+++ b/src/coordination/tests/placing.rs
@@ -1,7 +1,7 @@
 //! What runs where, and in which order.
 
 use super::*;
-use crate::settings::Objective;
+use crate::settings::{Objective, Workers};
 
 #[test]
 fn together_and_scatter_count_tasks_wherever_they_may_be() {
@@ -186,16 +186,21 @@
     assert_eq!(begun.iter().map(|s| s.0.job.clone()).collect::<Vec<_>>(), [id("job-7")]);
 }
 
-/// Settings whose users aim at a start within a third of a report interval.
-fn with_a_prompt_aim() -> Config {
-    let mut settings = settings::tests::sample();
-    settings.cluster.objectives.push(Objective {
+/// An aim at a start within a third of a report interval.
+pub fn prompt_aim(workers: &Workers) -> Objective {
+    Objective {
         kind: "wait".into(),
         class: Some("build".into()),
-        within_s: Some(settings.cluster.workers.report_s / 3.0),
+        within_s: Some(workers.report_s / 3.0),
         share: Some(0.9),
         times: None,
-    });
+    }
+}
+
+/// Settings whose users have such an aim.
+fn with_a_prompt_aim() -> Config {
+    let mut settings = settings::tests::sample();
+    settings.cluster.objectives.push(prompt_aim(&settings.cluster.workers));
     Config { settings, tuning: policy::tests::tuning() }
 }
 
@@ -242,3 +247,85 @@
     assert_eq!(rig.beat("vm-1", 2, EPOCH, vec![]), vec![]);
     assert_eq!(starts(&rig.beat("vm-3", 2, EPOCH, vec![running]))[0].0.job, id("job-2"));
 }
+
+/// A leader with a prompt aim and one idle machine, whose last report is returned.
+fn with_a_held_report() -> (Rig, Report) {
+    let mut rig = Rig::configured(Vec::new(), vec![hired("vm-1", true)], with_a_prompt_aim());
+    rig.beat("vm-1", 1, EPOCH, vec![]);
+    assert!(!rig.leader.may_hold(&rig.reported("vm-1", 1, vec![])), "no prompt class is known yet");
+    // One of the class has come, and ended: others are likely to.
+    rig.accept(sample("job-1", "blue", 1, 1.0));
+    let start = starts(&rig.beat("vm-1", 2, EPOCH, vec![])).remove(0);
+    rig.beat("vm-1", 3, EPOCH, vec![listed(&start, DONE)]);
+    rig.commit_all();
+    assert_eq!(rig.beat("vm-1", 4, EPOCH, vec![]), vec![]);
+    let report = rig.reported("vm-1", 4, vec![]);
+    assert!(rig.leader.may_hold(&report));
+    (rig, report)
+}
+
+/// A job that comes while an answer is held starts with that answer, not with the
+/// next report.
+#[test]
+fn a_held_answer_carries_the_start_of_a_job_that_came_meanwhile() {
+    let (mut rig, report) = with_a_held_report();
+    let held = [machine("vm-1")];
+    rig.leader.to_decide(held.iter());
+    rig.accept(sample("job-2", "blue", 1, 1.0));
+    assert_eq!(rig.leader.to_decide(held.iter()), held, "it is looked at again at once");
+    let ReportReply::Orders { token: EPOCH, orders } = rig.leader.answer_held(rig.now, &report) else {
+        panic!("no answer")
+    };
+    assert_eq!(starts(&orders)[0].0.job, id("job-2"));
+    // Its next report, with a higher number, proves whether the start was received.
+    assert_eq!(starts(&rig.beat("vm-1", 5, EPOCH, vec![])).len(), 1, "it was not, so it starts again");
+}
+
+/// What a held answer says is decided when it is sent: past the lease it starts
+/// nothing, and once a newer report was taken it says nothing at all.
+#[test]
+fn a_held_answer_is_decided_when_it_is_sent() {
+    let (mut rig, report) = with_a_held_report();
+    rig.accept(sample("job-2", "blue", 1, 1.0));
+    rig.leader.until = rig.now;
+    let past = rig.now + Duration::from_millis(100);
+    let nothing = ReportReply::Orders { token: EPOCH, orders: vec![] };
+    assert_eq!(rig.leader.answer_held(past, &report), nothing);
+    rig.leader.extend(rig.now, rig.now + Duration::from_secs(60));
+    rig.beat("vm-1", 5, EPOCH, vec![]);
+    assert_eq!(rig.leader.answer_held(rig.now, &report), ReportReply::Elsewhere);
+}
+
+/// A cancellation is not to wait until a hold ends, and the answer carries its stop.
+#[test]
+fn a_stop_ends_a_hold() {
+    let mut rig = Rig::configured(Vec::new(), vec![hired("vm-1", true)], with_a_prompt_aim());
+    rig.beat("vm-1", 1, EPOCH, vec![]);
+    rig.accept(JobSpec { form: Form::Service, ..sample("job-1", "blue", 1, 1.0) });
+    let start = starts(&rig.beat("vm-1", 2, EPOCH, vec![])).remove(0);
+    let running = vec![listed(&start, TaskState::Running)];
+    assert_eq!(rig.beat("vm-1", 3, EPOCH, running.clone()), vec![]);
+    let report = rig.reported("vm-1", 3, running);
+    assert!(rig.leader.may_hold(&report));
+    let held = [machine("vm-1")];
+    rig.leader.to_decide(held.iter());
+    rig.withdraw("job-1");
+    rig.commit_all();
+    assert_eq!(rig.leader.to_decide(held.iter()), held);
+    let stop = Order::Stop { task: start.0, attempt: start.1, grace_s: 0.0 };
+    let stopping = ReportReply::Orders { token: EPOCH, orders: vec![stop] };
+    assert_eq!(rig.leader.answer_held(rig.now, &report), stopping);
+}
+
+/// The next report of a machine whose tasks end by themselves may tell of room or of
+/// results, and the first answer under a new token makes the worker report again.
+#[test]
+fn reports_of_machines_with_other_work_or_an_earlier_token_are_not_held() {
+    let (mut rig, report) = with_a_held_report();
+    assert!(!rig.leader.may_hold(&Report { token: EPOCH - 1, ..report.clone() }));
+    assert!(!rig.leader.may_hold(&Report { notice_s: Some(10.0), ..report }));
+    rig.accept(sample("job-2", "blue", 1, 1.0));
+    let start = starts(&rig.beat("vm-1", 5, EPOCH, vec![])).remove(0);
+    let running = vec![listed(&start, TaskState::Running)];
+    assert!(!rig.leader.may_hold(&rig.reported("vm-1", 6, running)));
+}
--- a/src/coordination/tests/world.rs
+++ b/src/coordination/tests/world.rs
@@ -20,7 +20,7 @@
 use super::super::election::{self, Election};
 use super::super::leader::Config;
 use super::super::node::{Front, Node};
-use super::sample;
+use super::{placing, sample};
 use crate::maps::HashMap;
 use crate::policy;
 use crate::protocol::cbor::{Fields, MapBuilder, decode, encode, texts};
@@ -271,6 +271,10 @@
         settings.cluster.state.write_rps = 80.0;
         settings.cluster.workers.lease_s = 20.0;
         settings.cluster.workers.cancel_s = 45.0;
+        if seed % 4 >= 2 {
+            // Answers to reports are held for prompt starts.
+            settings.cluster.objectives.push(placing::prompt_aim(&settings.cluster.workers));
+        }
         troubles.sort_by(|a, b| a.0.total_cmp(&b.0));
         let controller = || Controller {
             incarnation: 0,
