Remember demand of work that may wait for longer, and keep less ready for it

Change: the demand of patient work fades over the time that it may wait (four minutes at most), and three quarters of its mean are kept (policy: patient_ratio); what then waits is worked off by its aims as before.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -54,7 +54,7 @@
 pub(super) struct Demand {
     /// Work that would be running now.
     pub(super) ideal: f64,
-    mean: f64,
+    pub(super) mean: f64,
     /// Mean size of a job, and of its square: large jobs come in one piece.
     size: f64,
     size_square: f64,
@@ -67,6 +67,9 @@
     quiet_since: Option<Instant>,
     /// What works off all that waits in time.
     pub(super) drain: f64,
+    /// How long its jobs may wait for their first aim; nothing for those that may
+    /// not wait while machines boot.
+    patience: Duration,
     shape: Resources,
 }
 
@@ -84,6 +87,7 @@
             pending: 0.0,
             quiet_since: None,
             drain: 0.0,
+            patience: Duration::ZERO,
             shape: Resources::default(),
         }
     }
@@ -625,6 +629,7 @@
             let ideal_end = job.submitted + Duration::from_secs_f64(run) + start_delay;
             let runs_ideally = job.is_service() || now < ideal_end;
             let demand = self.demand.entry(key).or_insert_with(|| Demand::new(now));
+            demand.patience = if patient { patience } else { Duration::ZERO };
             demand.active += active;
             demand.pending += pending.min(limit);
             demand.drain += pending * run / time.as_secs_f64();
@@ -644,8 +649,11 @@
             }
         }
         let memory = self.longest_boot().mul_f64(self.config.tuning.memory_ratio);
+        let longest = self.config.tuning.begin_within;
         for demand in self.demand.values_mut() {
-            demand.sample(now, memory);
+            // Work that may wait evens out by itself for that long: machines that come
+            // and go with each of its jobs would spend their time on booting.
+            demand.sample(now, memory.max(demand.patience.min(longest)));
         }
         self.demand.retain(|_, d| d.mean > 0.05 || d.active + d.pending > 0.0);
     }
@@ -719,7 +727,7 @@
     /// what is missing. Returns the machines that are wanted.
     fn rent(&mut self, now: Instant) -> HashSet<MachineId> {
         let tuning = &self.config.tuning;
-        let (headroom, mean_ratio) = (tuning.headroom, tuning.mean_ratio);
+        let headroom = tuning.headroom;
         let spot_weight = tuning.spot_price_weight;
         let mut groups: Vec<(GroupKey, Demand)> =
             self.demand.iter().map(|(k, d)| (k.clone(), d.clone())).collect();
@@ -764,8 +772,12 @@
         let mut orders: Vec<RentOption> = Vec::new();
         let rentals = self.config.settings.cluster.cloud.rps.max(1.0);
         for (key, demand) in groups {
-            let ready = if key.patient { 0.0 } else { demand.spread() * headroom };
-            let usual = demand.mean * mean_ratio + ready;
+            // What may wait queues for a while instead of finding machines ready.
+            let usual = if key.patient {
+                demand.mean * tuning.patient_ratio
+            } else {
+                demand.mean * tuning.mean_ratio + demand.spread() * headroom
+            };
             let backlog = demand.mean + demand.drain;
             let at_once = demand.active + demand.pending;
             let mut need = usual.max(backlog.min(at_once));
--- a/src/coordination/tests/renting.rs
+++ b/src/coordination/tests/renting.rs
@@ -304,6 +304,33 @@
     assert!(drains.windows(2).all(|pair| pair[0] <= pair[1] + 1e-9), "{drains:?}");
 }
 
+/// Machines that came and went with each job of a class that may wait for minutes
+/// spent a third of their paid time on booting.
+#[test]
+fn demand_of_work_that_may_wait_fades_slowly() {
+    let left_after_a_minute = |deadline_s| {
+        let mut rig = Rig::with_machines(&["vm-1"]);
+        rig.accept(JobSpec { deadline_s, ..sample("job-1", "red", 2, 4.0) });
+        let started = starts(&rig.beat("vm-1", 5, EPOCH, vec![]));
+        let mean = |rig: &Rig| rig.leader.demand.values().map(|d| d.mean).sum::<f64>();
+        for _ in 0..20 {
+            rig.pass(1.0);
+        }
+        rig.beat("vm-1", 6, EPOCH, started.iter().map(|s| listed(s, DONE)).collect());
+        rig.commit_all();
+        let before = mean(&rig);
+        assert!(before > 4.0, "{before}");
+        for seq in 7..67 {
+            rig.pass(1.0);
+            rig.beat("vm-1", seq, EPOCH, vec![]);
+        }
+        mean(&rig) / before
+    };
+    assert!(left_after_a_minute(None) < 0.15);
+    let patient = left_after_a_minute(Some(300.0));
+    assert!((0.2..0.9).contains(&patient), "{patient}");
+}
+
 /// A service with one replica on each of two machines, one of which would do.
 fn spread_over_two(images: [&str; 2]) -> (Rig, [(TaskId, u64); 2]) {
     let hires = ["vm-1", "vm-3"].map(|name| hired(name, true)).into();
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -41,6 +41,8 @@
     pub preempt_lower_loss_s: f64,
     /// Mean demand is multiplied by this before renting.
     pub mean_ratio: f64,
+    /// The same for work that may wait longer than machines take to boot.
+    pub patient_ratio: f64,
     /// Capacity kept beyond it, in standard deviations of demand.
     pub headroom: f64,
     /// How long demand is remembered, as a multiple of the longest boot.
@@ -120,6 +122,13 @@
         most: |_| 10.0,
         set: |t, v| t.mean_ratio = v,
     },
+    Setting {
+        name: "patient_ratio",
+        kind: Type::Number,
+        least: |_| 0.1,
+        most: |_| 10.0,
+        set: |t, v| t.patient_ratio = v,
+    },
     Setting {
         name: "headroom",
         kind: Type::Number,
