--- a/benches/hot_paths.rs
+++ b/benches/hot_paths.rs
@@ -12,11 +12,11 @@
 use shedtally::coordination::leader::{Action, Config, Leader, Loaded};
 use shedtally::coordination::model::ReplyTo;
 use shedtally::policy::Tuning;
-use shedtally::protocol::cloud::{HireRequest, MachineType};
+use shedtally::protocol::cloud::{MachineType, RentalRequest};
 use shedtally::protocol::jobs::{Form, JobId, JobSpec, Priority};
 use shedtally::protocol::workers::{ExitCause, MachineId, Order, Report, TaskReport, TaskState};
 use shedtally::settings::Settings;
-use shedtally::storage::records::HireRecord;
+use shedtally::storage::records::RentalRecord;
 use tokio::time::Instant;
 
 const SETTINGS: &str = r#"
@@ -110,7 +110,7 @@
             zones: vec!["z1".into()],
         };
         let ids: Vec<MachineId> = (0..machines).map(name).collect();
-        let request = HireRequest {
+        let request = RentalRequest {
             name: "1-1".into(),
             machine_type: "m8".into(),
             zone: "z1".into(),
@@ -118,8 +118,8 @@
             count: machines as u32,
         };
         let used = ids.iter().cloned().collect();
-        let hires = vec![(HireRecord { request, machines: Some(ids), used }, 3)];
-        let loaded = Loaded { jobs: Vec::new(), hires, catalog: Some((vec![kind], 2)), experience: None };
+        let rentals = vec![(RentalRecord { request, machines: Some(ids), used }, 3)];
+        let loaded = Loaded { jobs: Vec::new(), rentals, catalog: Some((vec![kind], 2)), experience: None };
         let mut leader = Leader::new(Arc::new(Config { settings, tuning }), EPOCH, now, 0, loaded);
         leader.extend(now, now + Duration::from_secs(1 << 20));
         World { leader, now, seq: 0, running: vec![Vec::new(); machines], jobs: 0 }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -288,14 +288,14 @@
     };
     let peer_listen = settings.peer_listen;
     let config = Arc::new(config);
-    let (node, inputs, front) = Node::new(config, store, cloud, leads, term, abandoned, roles);
-    let peers = front.clone();
+    let (node, inputs, handle) = Node::new(config, store, cloud, leads, term, abandoned, roles);
+    let peers = handle.clone();
     tokio::spawn(async move {
         if let Err(error) = peer::serve(peer_listen, BODY_LIMIT, peers).await {
             tracing::error!(%error, "cannot serve other controllers");
         }
     });
-    tokio::spawn(server::serve(listener, options, front));
+    tokio::spawn(server::serve(listener, options, handle));
     node.run(inputs).await;
     Err("the controller's own parts have ended".to_owned())
 }
--- a/src/coordination/agents.rs
+++ b/src/coordination/agents.rs
@@ -40,7 +40,7 @@
             return ReportReply::Elsewhere;
         }
         if !self.valid(now) {
-            return self.report_in_grace(now, report);
+            return self.report_after_lease(now, report);
         }
         if self.gone.contains(&report.machine) {
             // A late copy from a machine whose deletion was confirmed.
@@ -57,7 +57,7 @@
             // only then it is entered. No machine that no record names was
             // ever given a start, so the answer keeps nothing alive.
             if report.token == epoch {
-                self.meet_unexpected(now, &report.machine, &report.machine_type, &report.zone, report.spot);
+                self.note_unexpected(now, &report.machine, &report.machine_type, &report.zone, report.spot);
             }
             return self.only_final_stops(report);
         };
@@ -78,13 +78,13 @@
         let lease = self.config.settings.cluster.workers.lease();
         // The first effect of ours that can be seen is the token.
         if m.seen.is_none() || m.hinted.take().is_some() {
-            m.heed.clear();
+            m.answer_tracker.clear();
         }
         let earlier = m.seen.replace(stamp);
         let renewed = earlier.is_some_and(|(session, _)| session < report.session);
         if renewed && m.answered.is_some_and(|at| now < at + lease) {
             // Its lease has run out although it was answered.
-            m.heed.miss(now);
+            m.answer_tracker.miss(now);
         }
         if !outlives {
             m.answered = Some(now);
@@ -145,7 +145,7 @@
             return ReportReply::Elsewhere;
         }
         if !self.valid(now) {
-            return self.report_in_grace(now, report);
+            return self.report_after_lease(now, report);
         }
         let mut orders = self.stops_and_reaps(report);
         if orders.len() < MAX_ORDERS && !self.machines.get(&report.machine).is_some_and(|m| m.doubted) {
@@ -183,12 +183,12 @@
         let workers = &self.config.settings.cluster.workers;
         let (report, pause) = (workers.report(), workers.lease() / 2);
         let Some(m) = self.machines.get_mut(machine) else { return (true, false) };
-        let doubted = m.heed.doubted(now, report);
+        let doubted = m.answer_tracker.doubted(now, report);
         if doubted && !m.doubted {
             tracing::info!(%machine, "reports arrive, but nothing shows that it hears the answers");
         }
         m.doubted = doubted;
-        (doubted, m.heed.may_probe(now, pause))
+        (doubted, m.answer_tracker.may_probe(now, pause))
     }
 
     /// A report under an earlier token: of a worker that has not had our first
@@ -208,7 +208,7 @@
         let before = m.hinted.replace(stamp);
         if before.is_some() {
             // The former answer should have shown.
-            m.heed.miss(now);
+            m.answer_tracker.miss(now);
         }
         // A deaf machine is answered no more, so that its lease proof runs.
         // Once that is over nothing is on it, and an answer puts off nothing.
@@ -253,8 +253,8 @@
     /// take the workers' along if it lasted. Kept alive, they finish what they
     /// have. Nothing is decided here; and whoever leads next waits for silent
     /// machines that much longer, see [`super::leader::Config::takeover_proof`].
-    fn report_in_grace(&mut self, now: Instant, report: &Report) -> ReportReply {
-        let until = self.until + self.config.grace();
+    fn report_after_lease(&mut self, now: Instant, report: &Report) -> ReportReply {
+        let until = self.until + self.config.lapse_window();
         if self.outlives_its_stops(now, report) {
             return ReportReply::Elsewhere;
         }
@@ -301,7 +301,7 @@
             .any(|key| m.slots.get(key).is_some_and(|slot| matches!(slot.state, SlotState::Sent { .. })));
         if vanished {
             // A start went into an answer that it did not get.
-            m.heed.miss(now);
+            m.answer_tracker.miss(now);
         }
         for key in missing {
             self.remove_slot(now, machine, &key);
@@ -326,7 +326,7 @@
         if let Some(slot) = m.slots.get_mut(key) {
             if slot.attempt == task.attempt {
                 if matches!(slot.state, SlotState::Sent { .. }) {
-                    m.heed.clear();
+                    m.answer_tracker.clear();
                 }
                 if slot.state != state {
                     let was = slot.state == SlotState::Running;
@@ -367,7 +367,7 @@
     ) {
         let slot = self.machines.get(machine).and_then(|m| m.slots.get(key)).filter(|s| s.attempt == attempt);
         let held = slot.is_some();
-        let heeded = slot.is_some_and(|s| matches!(s.state, SlotState::Sent { .. }));
+        let acknowledged = slot.is_some_and(|s| matches!(s.state, SlotState::Sent { .. }));
         if let Some(slot) = slot.filter(|s| cause == ExitCause::Done && s.state == SlotState::Running) {
             let seconds = now.saturating_duration_since(slot.since).as_secs_f64();
             self.learn_run(&key.0, seconds);
@@ -387,8 +387,8 @@
             ExitCause::Error | ExitCause::Unknown if held => self.note_failure(now, machine, &key.0),
             _ => {}
         }
-        if heeded && let Some(m) = self.machines.get_mut(machine) {
-            m.heed.clear();
+        if acknowledged && let Some(m) = self.machines.get_mut(machine) {
+            m.answer_tracker.clear();
         }
         if held {
             tracing::debug!(%machine, job = %key.0, task = key.1, ?cause, "exited");
@@ -573,11 +573,11 @@
             return;
         }
         m.marking = true;
-        let name = m.hire.clone();
-        if let Some(hire) = self.hires.get_mut(&name) {
-            hire.record.used.insert(machine.clone());
+        let name = m.rental.clone();
+        if let Some(rental) = self.rentals.get_mut(&name) {
+            rental.record.used.insert(machine.clone());
         }
-        self.write_hire(&name);
+        self.write_rental(&name);
     }
 
     /// A machine that has not been answered for its whole lease, and a margin,
@@ -592,7 +592,7 @@
             .filter(|m| !m.known || !m.slots.is_empty())
             // A machine that has shown our token drops the answers of an earlier
             // leader. One that has not may never have got ours, and an earlier
-            // leader in its grace may have kept it alive since.
+            // leader in its lapse window may have kept it alive since.
             .filter(|m| {
                 now >= match m.answered.map(|at| at + proof) {
                     Some(own) if m.seen.is_some() => own,
--- a/src/coordination/cloud.rs
+++ b/src/coordination/cloud.rs
@@ -9,7 +9,7 @@
 
 use crate::protocol::cbor::{decode, encode};
 use crate::protocol::cloud::{
-    HireRequest, ListPage, MachineType, PAGE, decode_catalog, decode_hired, decode_list, encode_delete,
+    ListPage, MachineType, PAGE, RentalRequest, decode_catalog, decode_list, decode_rented, encode_delete,
 };
 use crate::protocol::workers::MachineId;
 use crate::storage::service::{Bucket, Complaints};
@@ -24,7 +24,7 @@
 pub enum CloudCall {
     Catalog,
     List { from: String },
-    Hire(HireRequest),
+    Rent(RentalRequest),
     Delete(Vec<MachineId>),
 }
 
@@ -32,7 +32,7 @@
 pub enum CloudReply {
     Catalog(Vec<MachineType>),
     List(ListPage),
-    Hired(Vec<MachineId>),
+    Rented(Vec<MachineId>),
     Deleted,
 }
 
@@ -113,7 +113,7 @@
                 biased;
                 request = inbox.recv(), if waiting.len() < 32 => match request {
                     // What costs or saves money goes before looking around.
-                    Some(r) if matches!(r.call, CloudCall::Hire(_) | CloudCall::Delete(_)) => {
+                    Some(r) if matches!(r.call, CloudCall::Rent(_) | CloudCall::Delete(_)) => {
                         let at = waiting.iter().position(|w| matches!(w.call, CloudCall::List { .. } | CloudCall::Catalog));
                         waiting.insert(at.unwrap_or(waiting.len()), r);
                     }
@@ -141,7 +141,7 @@
         CloudCall::Catalog => ("GET", "/catalog".to_owned(), Vec::new()),
         CloudCall::List { from } if from.is_empty() => ("GET", format!("/machines?page={PAGE}"), Vec::new()),
         CloudCall::List { from } => ("GET", format!("/machines?from={from}&page={PAGE}"), Vec::new()),
-        CloudCall::Hire(request) => ("POST", "/machines".to_owned(), encode(&request.encode())),
+        CloudCall::Rent(request) => ("POST", "/machines".to_owned(), encode(&request.encode())),
         CloudCall::Delete(machines) => {
             ("POST", "/machines/delete".to_owned(), encode(&encode_delete(machines)))
         }
@@ -168,7 +168,7 @@
     match call {
         CloudCall::Catalog => decode_catalog(&body).map(CloudReply::Catalog),
         CloudCall::List { .. } => decode_list(&body).map(CloudReply::List),
-        CloudCall::Hire(_) => decode_hired(&body).map(CloudReply::Hired),
+        CloudCall::Rent(_) => decode_rented(&body).map(CloudReply::Rented),
         CloudCall::Delete(_) => return Ok(CloudReply::Deleted),
     }
     .map_err(|_| CloudError::Failed)
--- a/src/coordination/consolidation.rs
+++ b/src/coordination/consolidation.rs
@@ -19,7 +19,7 @@
 impl Leader {
     /// Chooses at most one machine to empty, once all replicas moved before run again.
     pub(super) fn consolidate(&mut self, now: Instant) {
-        let steady = self.was_whole && !self.cloud_is_down(now) && self.clear_since.is_some();
+        let steady = self.recovered && !self.cloud_is_down(now) && self.clear_since.is_some();
         for machine in self.machines.values_mut().filter(|m| m.draining) {
             machine.draining = steady && !machine.wanted;
         }
--- /dev/null
+++ b/src/coordination/demand.rs
@@ -0,0 +1,231 @@
+//! How much work there usually is, measured for each group of jobs that may use the
+//! same machines, and what of it later leaders are told.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::leader::Leader;
+use super::model::Resources;
+use crate::protocol::jobs::JobId;
+use crate::storage::records::{EXPERIENCE, Experience, GroupExperience};
+
+/// Jobs that may use the same machines.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub(super) struct GroupKey {
+    pub(super) types: Vec<usize>,
+    pub(super) zone: Option<String>,
+    pub(super) spot: bool,
+    pub(super) gpus: bool,
+    /// Its jobs may wait for as long as machines take to boot: nothing is kept
+    /// ready for them beyond their usual demand.
+    pub(super) patient: bool,
+}
+
+/// Demand of one group over time, in CPUs (or GPUs, for jobs that need them).
+///
+/// What is measured is the work as if every task had started when it was
+/// submitted and run for as long as its class is now known to run. A backlog, as
+/// while the first machines boot, would otherwise be taken for demand that
+/// stays; and so would, for as long as they said, the owners' estimates that
+/// turned out too high. What is over is no demand, whatever was expected of it.
+#[derive(Debug, Clone)]
+pub(super) struct Demand {
+    /// Work that would be running now.
+    pub(super) ideal: f64,
+    pub(super) mean: f64,
+    /// Mean size of a job, and of its square: large jobs come in one piece.
+    pub(super) size: f64,
+    pub(super) size_square: f64,
+    pub(super) jobs: f64,
+    pub(super) born: Instant,
+    pub(super) at: Instant,
+    pub(super) active: f64,
+    pub(super) pending: f64,
+    /// Since when there has been no work at all.
+    pub(super) quiet_since: Option<Instant>,
+    /// What works off all that waits in time.
+    pub(super) drain: f64,
+    /// How long its jobs may wait for their first aim; nothing for those that may
+    /// not wait while machines boot.
+    pub(super) patience: Duration,
+    pub(super) shape: Resources,
+}
+
+impl Demand {
+    pub(super) fn new(now: Instant) -> Self {
+        Demand {
+            ideal: 0.0,
+            mean: 0.0,
+            size: 0.0,
+            size_square: 0.0,
+            jobs: 0.0,
+            born: now,
+            at: now,
+            active: 0.0,
+            pending: 0.0,
+            quiet_since: None,
+            drain: 0.0,
+            patience: Duration::ZERO,
+            shape: Resources::default(),
+        }
+    }
+
+    pub(super) fn arrive(&mut self, units: f64) {
+        self.jobs += 1.0;
+        // A plain mean at first, later over about the last hundred jobs.
+        let weight = 1.0 / self.jobs.min(100.0);
+        self.size += (units - self.size) * weight;
+        self.size_square += (units * units - self.size_square) * weight;
+    }
+
+    pub(super) fn sample(&mut self, now: Instant, memory: Duration) {
+        if self.active + self.pending + self.ideal > 0.0 {
+            self.quiet_since = None;
+        } else {
+            self.quiet_since.get_or_insert(now);
+        }
+        let passed = now.saturating_duration_since(self.at).as_secs_f64().max(0.1);
+        let age = now.saturating_duration_since(self.born).as_secs_f64() + passed;
+        // Young, it is a plain mean; later, the past fades.
+        let weight = (passed / age.min(memory.as_secs_f64())).clamp(0.0, 1.0);
+        self.mean += (self.ideal - self.mean) * weight;
+        self.at = now;
+    }
+
+    /// The standard deviation of work that comes in jobs of such sizes at
+    /// random times: the square root of the mean times the size of the job
+    /// that a unit of work typically belongs to.
+    pub(super) fn spread(&self) -> f64 {
+        if self.size <= 0.0 { 0.0 } else { (self.mean * self.size_square / self.size).sqrt() }
+    }
+}
+
+impl Leader {
+    pub(super) fn measure_demand(&mut self, now: Instant) {
+        for demand in self.demand.values_mut() {
+            (demand.ideal, demand.active, demand.pending, demand.drain) = (0.0, 0.0, 0.0, 0.0);
+        }
+        let start_delay = self.config.settings.cluster.workers.report().mul_f64(0.5);
+        let ids: Vec<JobId> = self.jobs.values().filter(|j| j.is_live()).map(|j| j.id().clone()).collect();
+        for id in ids {
+            let Some(job) = self.jobs.get(&id) else { continue };
+            let spec = job.spec();
+            let Some(team) = job.team.and_then(|t| self.teams.get(t)) else { continue };
+            let gpus = spec.gpus > 0.0;
+            let unit = if gpus { spec.gpus } else { spec.cpus };
+            let limit = if gpus { team.limit.gpus } else { team.limit.cpus };
+            let patience = self.starts_aimed_at(spec).min().unwrap_or_default();
+            let patient = patience > self.longest_boot().mul_f64(1.5);
+            let types = self.fitting_types(spec);
+            let key = GroupKey { types, zone: spec.zone.clone(), spot: spec.spot, gpus, patient };
+            let shape = Resources::of(spec);
+            let run = self.expected_run(spec);
+            let active = unit * job.active.len() as f64;
+            let pending = unit * f64::from(job.pending());
+            // What waits is to be worked off while, or soon after, what is rented
+            // for it boots, since more would come up to find nothing to do; and
+            // over a longer time if the job's aims leave it.
+            let boot = self.longest_boot();
+            let due = self.latest_start(job, now) + Duration::from_secs_f64(run);
+            let time = due.saturating_duration_since(now).clamp(boot * 2, boot * 4);
+            // What a team asks beyond its limit cannot run at once.
+            let offered = job.offered.unwrap_or_else(|| (unit * f64::from(job.unfinished())).min(limit));
+            let arriving = job.offered.is_none();
+            let ideal_end = job.submitted + Duration::from_secs_f64(run) + start_delay;
+            let runs_ideally = job.is_service() || now < ideal_end;
+            let demand = self.demand.entry(key).or_insert_with(|| Demand::new(now));
+            demand.patience = if patient { patience } else { Duration::ZERO };
+            demand.active += active;
+            demand.pending += pending.min(limit);
+            demand.drain += pending * run / time.as_secs_f64();
+            demand.ideal += if runs_ideally { offered } else { 0.0 };
+            if arriving {
+                demand.arrive(offered);
+                let weight = (offered / (offered + demand.size * 4.0)).clamp(0.0, 1.0);
+                let blend = |old: f64, new: f64| if old > 0.0 { old + (new - old) * weight } else { new };
+                demand.shape = Resources {
+                    cpus: blend(demand.shape.cpus, shape.cpus),
+                    gpus: blend(demand.shape.gpus, shape.gpus),
+                    memory_gb: blend(demand.shape.memory_gb, shape.memory_gb),
+                };
+                if let Some(job) = self.jobs.get_mut(&id) {
+                    job.offered = Some(offered);
+                }
+            }
+        }
+        let memory = self.longest_boot().mul_f64(self.config.tuning.memory_ratio);
+        let longest = self.config.tuning.begin_within;
+        for demand in self.demand.values_mut() {
+            // Work that may wait evens out by itself for that long: machines that come
+            // and go with each of its jobs would spend their time on booting.
+            demand.sample(now, memory.max(demand.patience.min(longest)));
+        }
+        self.demand.retain(|_, d| d.mean > 0.05 || d.active + d.pending > 0.0);
+    }
+
+    /// What a later leader could not find out by itself: demand so far and how
+    /// estimates have turned out.
+    pub(super) fn write_experience(&mut self, now: Instant) {
+        let groups = self.demand.iter().map(|(key, demand)| {
+            let types = key.types.iter().filter_map(|&t| self.catalog.get(t)).map(|k| k.name.as_str());
+            GroupExperience {
+                types: types.map(str::to_owned).collect(),
+                zone: key.zone.clone(),
+                spot: key.spot,
+                gpus: key.gpus,
+                patient: key.patient,
+                mean: demand.mean,
+                size: demand.size,
+                size_square: demand.size_square,
+                jobs: demand.jobs,
+                age_s: now.saturating_duration_since(demand.born).as_secs_f64(),
+            }
+        });
+        let experience = Experience {
+            groups: groups.take(32).collect(),
+            ratios: self.class_ratio.iter().take(64).map(|(c, r)| (c.clone(), *r)).collect(),
+        };
+        self.write_note(EXPERIENCE, experience.encode());
+    }
+
+    /// Takes over what an earlier leader had learnt.
+    pub(super) fn take_experience(&mut self, now: Instant, experience: Experience) {
+        self.class_ratio = experience.ratios.into_iter().collect();
+        for group in experience.groups {
+            let types = group.types.iter().map(|name| self.catalog.iter().position(|k| k.name == *name));
+            let Some(types) = types.collect::<Option<Vec<_>>>() else { continue };
+            let key = GroupKey {
+                types,
+                zone: group.zone,
+                spot: group.spot,
+                gpus: group.gpus,
+                patient: group.patient,
+            };
+            let mut demand = Demand::new(now);
+            demand.mean = group.mean;
+            demand.size = group.size;
+            demand.size_square = group.size_square;
+            demand.jobs = group.jobs;
+            demand.born = now.checked_sub(Duration::from_secs_f64(group.age_s.min(1e6))).unwrap_or(now);
+            self.demand.insert(key, demand);
+        }
+    }
+
+    /// How often a spot machine is lost, per second of its life: what was seen,
+    /// beside one loss in one machine's hour to begin with.
+    pub(super) fn spot_loss_rate(&self) -> f64 {
+        (self.spot_losses + 1.0) / (self.spot_seconds + 3600.0)
+    }
+
+    pub(super) fn longest_boot(&self) -> Duration {
+        Duration::from_secs_f64(self.catalog.iter().map(|k| k.boot_s).fold(1.0, f64::max))
+    }
+
+    /// Units of a group's work that a machine type takes.
+    pub(super) fn units(&self, kind: usize, demand: &Demand, gpus: bool) -> f64 {
+        let Some(kind) = self.catalog.get(kind) else { return 0.0 };
+        let tasks = f64::from(demand.shape.times_in(&Resources::of_type(kind)).min(10_000));
+        tasks * if gpus { demand.shape.gpus } else { demand.shape.cpus }
+    }
+}
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -14,8 +14,12 @@
 use tokio::time::Instant;
 
 use super::cloud::{CloudCall, CloudResult};
-use super::fleet::{Backoff, Demand, GroupKey, ListRound};
-use super::model::{Hire, Job, Machine, Phase, ReplyTo, Resources, Slot, SlotKey, SlotState, Team, Written};
+use super::demand::{Demand, GroupKey};
+use super::machine_list::ListRound;
+use super::model::{
+    Job, Machine, Phase, Rental, ReplyTo, Resources, Slot, SlotKey, SlotState, Team, Written,
+};
+use super::renting::Backoff;
 use super::scheduler::{PromptNeed, Ranked};
 use crate::maps::{HashMap, HashSet};
 use crate::policy::Tuning;
@@ -26,8 +30,8 @@
 use crate::protocol::workers::{ANSWER_WITHIN, MachineId, Order};
 use crate::settings::Settings;
 use crate::storage::records::{
-    CATALOG, EXPERIENCE, Experience, HireRecord, JobRecord, block_key, block_size, blocks, hire_key,
-    live_key, over_key, record_key, row,
+    CATALOG, EXPERIENCE, Experience, JobRecord, RentalRecord, block_key, block_size, blocks, live_key,
+    over_key, record_key, rental_key, row,
 };
 use crate::storage::service::{Class, StoreError, Transaction};
 
@@ -91,8 +95,8 @@
     Create(JobId),
     Record(JobId),
     Move(JobId),
-    Hire(String),
-    AskHire(String),
+    Rental(String),
+    AskRental(String),
     Delete(Vec<MachineId>),
     List,
     Catalog,
@@ -116,7 +120,7 @@
 #[derive(Debug, Default)]
 pub struct Loaded {
     pub jobs: Vec<LoadedJob>,
-    pub hires: Vec<(HireRecord, u64)>,
+    pub rentals: Vec<(RentalRecord, u64)>,
     pub catalog: Option<(Vec<MachineType>, u64)>,
     pub experience: Option<(Experience, u64)>,
 }
@@ -156,14 +160,14 @@
     /// How long after its lease has lapsed a leader still answers reports,
     /// without anything but stops. It may not know of cancellations that another
     /// has confirmed since then.
-    pub fn grace(&self) -> Duration {
+    pub fn lapse_window(&self) -> Duration {
         self.answers_after_cancelling().min(self.settings.cluster.workers.lease() / 2)
     }
 
     /// The same proof for a machine that this leader has never answered: an
-    /// earlier one may have answered it until the end of its grace.
+    /// earlier one may have answered it until the end of its lapse window.
     pub fn takeover_proof(&self) -> Duration {
-        self.lease_proof() + self.grace()
+        self.lease_proof() + self.lapse_window()
     }
 }
 
@@ -175,16 +179,16 @@
     pub(super) since: Instant,
     pub(super) loaded_at: Instant,
     /// Since when no earlier leader can have answered a worker.
-    graces_over: Option<Instant>,
+    lapse_windows_over: Option<Instant>,
     pub(super) jobs: HashMap<JobId, Job>,
     pub(super) creating: HashMap<JobId, Creating>,
     pub(super) teams: Vec<Team>,
     pub(super) team_index: HashMap<String, usize>,
     pub(super) machines: BTreeMap<MachineId, Machine>,
-    pub(super) hires: BTreeMap<String, Hire>,
+    pub(super) rentals: BTreeMap<String, Rental>,
     /// Machines that no record names, to be entered together: type, zone, spot.
-    pub(super) strangers: BTreeMap<MachineId, (String, String, bool)>,
-    pub(super) strangers_since: Option<Instant>,
+    pub(super) unexpected: BTreeMap<MachineId, (String, String, bool)>,
+    pub(super) unexpected_since: Option<Instant>,
     pub(super) gone: HashSet<MachineId>,
     pub(super) gone_order: VecDeque<MachineId>,
     pub(super) catalog: Vec<MachineType>,
@@ -223,9 +227,9 @@
     leaving: VecDeque<JobId>,
     moving: usize,
     pub(super) next_attempt: u32,
-    pub(super) next_hire: u32,
+    pub(super) next_rental: u32,
     pub(super) slow_tick_at: Instant,
-    pub(super) was_whole: bool,
+    pub(super) recovered: bool,
     pub(super) refused: u64,
     /// Classes of jobs that are to start within less than a report interval.
     pub(super) prompt_classes: HashMap<String, PromptNeed>,
@@ -261,15 +265,15 @@
             until: now,
             since: now,
             loaded_at: now,
-            graces_over: None,
+            lapse_windows_over: None,
             jobs: HashMap::default(),
             creating: HashMap::default(),
             teams,
             team_index,
             machines: BTreeMap::new(),
-            hires: BTreeMap::new(),
-            strangers: BTreeMap::new(),
-            strangers_since: None,
+            rentals: BTreeMap::new(),
+            unexpected: BTreeMap::new(),
+            unexpected_since: None,
             gone: HashSet::default(),
             gone_order: VecDeque::new(),
             catalog: Vec::new(),
@@ -298,9 +302,9 @@
             leaving: VecDeque::new(),
             moving: 0,
             next_attempt: 0,
-            next_hire: 0,
+            next_rental: 0,
             slow_tick_at: now,
-            was_whole: false,
+            recovered: false,
             refused: 0,
             prompt_classes: HashMap::default(),
             prompt_work: false,
@@ -313,14 +317,14 @@
         for job in loaded.jobs {
             leader.insert_loaded(now, now_ms, job);
         }
-        for (record, version) in loaded.hires {
-            let hire = Hire::new(record, version, now);
-            leader.hires.insert(hire.record.request.name.clone(), hire);
+        for (record, version) in loaded.rentals {
+            let rental = Rental::new(record, version, now);
+            leader.rentals.insert(rental.record.request.name.clone(), rental);
         }
         if let Some((types, version)) = loaded.catalog {
             leader.catalog = types;
             leader.notes.insert(CATALOG, Note { version, writing: false });
-            leader.meet_all(now);
+            leader.enter_all_rented(now);
         }
         if let Some((experience, version)) = loaded.experience {
             leader.notes.insert(EXPERIENCE, Note { version, writing: false });
@@ -348,23 +352,23 @@
         self.fenced
     }
 
-    /// Whether it would help to know that no earlier leader is in its grace.
-    pub fn awaits_graces(&self) -> bool {
-        !self.was_whole && self.graces_over.is_none()
+    /// Whether it would help to know that no earlier leader is in its lapse window.
+    pub fn awaits_lapse_windows(&self) -> bool {
+        !self.recovered && self.lapse_windows_over.is_none()
     }
 
     /// Every other controller has said, by then and after this epoch began,
     /// that it has no picture of any epoch and so answers no worker. What it
     /// held before, a dead process' included, is over: a name is used by one
     /// process at a time, and a picture is only had with a new epoch.
-    pub fn graces_are_over(&mut self, at: Instant) {
-        self.graces_over.get_or_insert(at);
+    pub fn lapse_windows_are_over(&mut self, at: Instant) {
+        self.lapse_windows_over.get_or_insert(at);
     }
 
     /// When a machine that this epoch has never answered has lost its lease.
     pub(super) fn unheard_proof(&self) -> Instant {
-        let grace = self.loaded_at + self.config.takeover_proof();
-        self.graces_over.map_or(grace, |at| grace.min(at + self.config.lease_proof()))
+        let lapse_window = self.loaded_at + self.config.takeover_proof();
+        self.lapse_windows_over.map_or(lapse_window, |at| lapse_window.min(at + self.config.lease_proof()))
     }
 
     pub fn take_actions(&mut self) -> Vec<Action> {
@@ -417,7 +421,7 @@
                 note.writing = false;
                 note.version = result.unwrap_or(note.version);
             }
-            Some(Ticket::Hire(name)) => self.hire_written(now, name, result),
+            Some(Ticket::Rental(name)) => self.rental_written(now, name, result),
             _ => {}
         }
     }
@@ -439,7 +443,7 @@
             return;
         }
         self.flush_records(now);
-        self.enter_strangers(now);
+        self.enter_unexpected(now);
         self.prove_silent_machines(now);
         if slow {
             self.begin_next(now);
@@ -677,7 +681,7 @@
             return;
         }
         // While some machine has not been heard, a task may still be there.
-        if j.unproven > 0 && !self.was_whole {
+        if j.unproven > 0 && !self.recovered {
             return;
         }
         j.leaving = true;
@@ -733,28 +737,28 @@
     }
 
     /// Writes a fleet record, one write at a time.
-    pub(super) fn write_hire(&mut self, name: &str) {
-        let Some(hire) = self.hires.get_mut(name) else { return };
-        if hire.writing {
-            hire.dirty = true;
+    pub(super) fn write_rental(&mut self, name: &str) {
+        let Some(rental) = self.rentals.get_mut(name) else { return };
+        if rental.writing {
+            rental.dirty = true;
             return;
         }
-        hire.writing = true;
-        hire.dirty = false;
-        let key = hire_key(name);
-        let conditions = vec![Condition { key: key.clone(), version: hire.version }];
-        let empty = hire.record.machines.as_ref().is_some_and(Vec::is_empty);
+        rental.writing = true;
+        rental.dirty = false;
+        let key = rental_key(name);
+        let conditions = vec![Condition { key: key.clone(), version: rental.version }];
+        let empty = rental.record.machines.as_ref().is_some_and(Vec::is_empty);
         let change = if empty {
             Change::Delete { key }
         } else {
-            Change::Put { key, value: hire.record.encode(), lease: None }
+            Change::Put { key, value: rental.record.encode(), lease: None }
         };
         // Without the mark of a new machine nothing starts on it. Machines that were
         // there before anything was asked for are what the first jobs wait for:
         // their records do not queue behind a crowd of acceptances.
-        let found = hire.version == 0 && hire.record.machines.is_some();
+        let found = rental.version == 0 && rental.record.machines.is_some();
         let class = if found { Class::Accept } else { Class::Settle };
-        self.commit(Ticket::Hire(name.to_owned()), class, conditions, vec![change]);
+        self.commit(Ticket::Rental(name.to_owned()), class, conditions, vec![change]);
     }
 
     /// A new job as the store now has it.
@@ -812,20 +816,20 @@
         if room.fits(&self.unheard) {
             self.unheard.sub(&room);
         }
-        self.check_whole();
+        self.check_recovered();
     }
 
     /// Whether all that may be on machines from before this epoch is known.
-    pub(super) fn is_whole(&self) -> bool {
+    pub(super) fn has_recovered(&self) -> bool {
         self.machines.values().all(|m| m.known || !m.used)
     }
 
     /// Notes when the picture becomes whole; what waited for it goes on.
-    pub(super) fn check_whole(&mut self) {
-        if self.was_whole || self.catalog.is_empty() || !self.is_whole() {
+    pub(super) fn check_recovered(&mut self) {
+        if self.recovered || self.catalog.is_empty() || !self.has_recovered() {
             return;
         }
-        self.was_whole = true;
+        self.recovered = true;
         tracing::info!(epoch = self.epoch, "every machine is accounted for");
         let over: Vec<JobId> = self
             .jobs
@@ -839,7 +843,7 @@
     }
 
     /// Takes jobs in that the reconciler brought back among the living.
-    pub fn revive(&mut self, now: Instant, now_ms: u64, jobs: Vec<LoadedJob>) {
+    pub fn restore(&mut self, now: Instant, now_ms: u64, jobs: Vec<LoadedJob>) {
         for job in jobs {
             let id = job.record.spec.id.clone();
             if self.jobs.contains_key(&id) {
@@ -884,7 +888,7 @@
             .set("machines", self.machines.len() as u64)
             .set("machinesBooting", booting as u64)
             .set("machinesDoubted", self.machines.values().filter(|m| m.doubted).count() as u64)
-            .set("accountedFor", self.was_whole)
+            .set("accountedFor", self.recovered)
             .set("submissionsRefused", self.refused)
     }
 
@@ -903,11 +907,11 @@
         }
         let [[used, there], [spot_used, spot_there]] = cpus;
         format!(
-            "epoch {} jobs {} pending {pending} active {active} machines {} spot {spot} booting {booting} idle {idle} cpus {used:.0} of {there:.0} spot cpus {spot_used:.0} of {spot_there:.0} whole {}",
+            "epoch {} jobs {} pending {pending} active {active} machines {} spot {spot} booting {booting} idle {idle} cpus {used:.0} of {there:.0} spot cpus {spot_used:.0} of {spot_there:.0} recovered {}",
             self.epoch,
             self.jobs.len(),
             self.machines.len(),
-            self.was_whole
+            self.recovered
         )
     }
 }
--- a/src/coordination/loading.rs
+++ b/src/coordination/loading.rs
@@ -7,8 +7,8 @@
 use super::reconciler::{self, Finding};
 use crate::protocol::cloud::decode_catalog;
 use crate::storage::records::{
-    CATALOG, EXPERIENCE, Experience, HIRES, HireRecord, JobRecord, LIVE, OVER, RECORDS, block_key, blocks,
-    record_key,
+    CATALOG, EXPERIENCE, Experience, JobRecord, LIVE, OVER, RECORDS, RENTALS, RentalRecord, block_key,
+    blocks, record_key,
 };
 use crate::storage::service::{Class, Store, StoreError};
 
@@ -24,7 +24,7 @@
     value_kb: f64,
 ) -> Result<(String, Vec<LoadedJob>), StoreError> {
     let (jobs, next) = reconciler::page_of_jobs(store, OVER, from, ROWS_A_ROUND).await?;
-    let mut revived = Vec::new();
+    let mut restored = Vec::new();
     for job in &jobs {
         let examined = reconciler::examine(store, job).await?;
         if let Finding::Suspect(reason) = examined.finding {
@@ -34,20 +34,20 @@
             tracing::error!(%job, finding = ?examined.finding, "a row differs from its record; repairing it");
             let live_version = store.commit(repair).await?;
             if examined.finding == Finding::Stranded {
-                revived.extend(load_job(store, &record_key(job), live_version, value_kb).await?);
+                restored.extend(load_job(store, &record_key(job), live_version, value_kb).await?);
             }
         }
     }
     // At the end it begins anew.
-    Ok((next.unwrap_or_default(), revived))
+    Ok((next.unwrap_or_default(), restored))
 }
 
 /// Reads all unfinished work and the fleet.
 pub async fn load(store: &Store, value_kb: f64) -> Result<Loaded, StoreError> {
     let mut loaded = Loaded::default();
-    for entry in store.scan(HIRES).await? {
-        match HireRecord::decode(&entry.value) {
-            Ok(record) => loaded.hires.push((record, entry.version)),
+    for entry in store.scan(RENTALS).await? {
+        match RentalRecord::decode(&entry.value) {
+            Ok(record) => loaded.rentals.push((record, entry.version)),
             Err(error) => tracing::error!(key = %entry.key, %error, "unreadable fleet record"),
         }
     }
--- /dev/null
+++ b/src/coordination/machine_list.rs
@@ -0,0 +1,102 @@
+//! The cloud's list of machines. It lags, and one may be older than the one before:
+//! what it shows or leaves out is a reason to look closer, never a proof.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::cloud::CloudCall;
+use super::leader::{Leader, Ticket};
+use super::model::Phase;
+use crate::maps::HashSet;
+use crate::protocol::cloud::{ListPage, ListedState};
+use crate::protocol::workers::MachineId;
+
+/// One reading of the machine list, page by page.
+#[derive(Debug)]
+pub(super) struct ListRound {
+    pub(super) started: Instant,
+    pub(super) seen: HashSet<MachineId>,
+}
+
+impl Leader {
+    /// How old the machine list usually is.
+    pub(super) fn list_lag(&self) -> Duration {
+        Duration::from_secs_f64(self.config.settings.cluster.cloud.list_lag_s.max(1.0))
+    }
+
+    pub(super) fn take_list(&mut self, now: Instant, page: ListPage) {
+        let Some(mut round) = self.listing.take() else { return };
+        let mut failed = Vec::new();
+        // A list as old as the takeover may still show what an earlier leader
+        // has deleted.
+        let young = round.started >= self.loaded_at + self.list_lag() * 2;
+        for listed in &page.machines {
+            round.seen.insert(listed.machine.clone());
+            match self.machines.get_mut(&listed.machine) {
+                Some(m) => {
+                    m.listed = true;
+                    m.unlisted = 0;
+                    if m.address.is_empty() {
+                        m.address.clone_from(&listed.address);
+                    }
+                    if listed.state == ListedState::Failed && m.phase != Phase::Deleting {
+                        failed.push(m.id.clone());
+                    }
+                }
+                None if !young => {}
+                None => {
+                    self.note_unexpected(
+                        now,
+                        &listed.machine,
+                        &listed.machine_type,
+                        &listed.zone,
+                        listed.spot,
+                    );
+                }
+            }
+        }
+        if !failed.is_empty() {
+            tracing::info!(count = failed.len(), "machines have stopped on their own");
+            self.delete(failed);
+        }
+        match page.machines.last() {
+            Some(last) if page.more => {
+                let from = last.machine.as_str().to_owned();
+                self.listing = Some(round);
+                self.call_cloud(Ticket::List, CloudCall::List { from });
+            }
+            _ => {
+                self.listed_at = Some(now);
+                self.judge_unlisted(now, &round);
+            }
+        }
+    }
+
+    /// A machine that was listed and is no more is gone, unless the list is
+    /// older than an earlier one. Its deletion proves it, and costs nothing.
+    pub(super) fn judge_unlisted(&mut self, now: Instant, round: &ListRound) {
+        let cluster = &self.config.settings.cluster;
+        let lag = Duration::from_secs_f64(cluster.cloud.list_lag_s);
+        let quiet = cluster.workers.report().mul_f64(1.5);
+        let loaded_at = self.loaded_at;
+        let mut lost = Vec::new();
+        for m in self.machines.values_mut() {
+            if round.seen.contains(&m.id) || m.phase == Phase::Deleting {
+                continue;
+            }
+            let old_enough = m.listed || m.rented + lag * 4 < round.started;
+            let silent = m.heard.unwrap_or(loaded_at) + quiet < now;
+            if old_enough && silent {
+                m.unlisted += 1;
+                if m.unlisted >= 2 {
+                    lost.push(m.id.clone());
+                }
+            }
+        }
+        if !lost.is_empty() {
+            tracing::info!(count = lost.len(), "machines are not listed any more");
+            self.delete(lost);
+        }
+    }
+}
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -11,7 +11,7 @@
 use crate::protocol::jobs::{Form, JobId, JobSpec, JobStatus, Standing};
 use crate::protocol::workers::{MachineId, Order};
 use crate::storage::done_set::DoneSet;
-use crate::storage::records::{HireRecord, JobRecord};
+use crate::storage::records::{JobRecord, RentalRecord};
 
 /// Where an answer goes; given out by the node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -281,31 +281,31 @@
 /// commands do not: an answer sent is no proof that it was received, only what
 /// later reports show of it is.
 #[derive(Debug, Clone, Copy, Default)]
-pub struct Heed {
+pub struct AnswerTracker {
     /// Answers in a row that should have shown an effect and did not.
-    unheeded: u32,
+    missed: u32,
     first: Option<Instant>,
     last: Option<Instant>,
 }
 
-impl Heed {
+impl AnswerTracker {
     /// So many, over at least two reports' time, and the machine is doubted:
     /// one lost answer, or a burst of late copies, costs nothing.
     const PATIENCE: u32 = 3;
 
     pub fn miss(&mut self, now: Instant) {
-        self.unheeded = self.unheeded.saturating_add(1);
+        self.missed = self.missed.saturating_add(1);
         self.first.get_or_insert(now);
         self.last = Some(now);
     }
 
     /// An effect was seen.
     pub fn clear(&mut self) {
-        *self = Heed::default();
+        *self = AnswerTracker::default();
     }
 
     pub fn doubted(&self, now: Instant, report: Duration) -> bool {
-        self.unheeded >= Self::PATIENCE && self.first.is_some_and(|at| now >= at + report * 2)
+        self.missed >= Self::PATIENCE && self.first.is_some_and(|at| now >= at + report * 2)
     }
 
     /// Whether it is time to try a single start on a doubted machine.
@@ -321,7 +321,7 @@
     pub zone: String,
     pub spot: bool,
     /// The fleet record it stands in.
-    pub hire: String,
+    pub rental: String,
     pub phase: Phase,
     pub address: String,
     pub rented: Instant,
@@ -330,7 +330,7 @@
     pub seen: Option<(u64, u64)>,
     /// Newest report under an earlier token, of which nothing was taken.
     pub hinted: Option<(u64, u64)>,
-    pub heed: Heed,
+    pub answer_tracker: AnswerTracker,
     /// It seems not to hear us: its room counts for nothing.
     pub doubted: bool,
     /// Reports of earlier sessions are void.
@@ -415,8 +415,8 @@
 
 /// A fleet record and the state of its writing.
 #[derive(Debug)]
-pub struct Hire {
-    pub record: HireRecord,
+pub struct Rental {
+    pub record: RentalRecord,
     pub version: u64,
     pub writing: bool,
     pub dirty: bool,
@@ -425,8 +425,8 @@
     pub asked_at: Instant,
 }
 
-impl Hire {
-    pub fn new(record: HireRecord, version: u64, now: Instant) -> Self {
-        Hire { record, version, writing: false, dirty: false, asking: false, asked_at: now }
+impl Rental {
+    pub fn new(record: RentalRecord, version: u64, now: Instant) -> Self {
+        Rental { record, version, writing: false, dirty: false, asking: false, asked_at: now }
     }
 }
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -15,7 +15,7 @@
 use super::leader::{Action, Answer, Config, Leader, Loaded, LoadedJob};
 use super::loading::{load, walk};
 use super::model::ReplyTo;
-use super::peers::{Detour, Detours, Peers, Stance};
+use super::peers::{Detour, Detours, PeerState, Peers};
 use super::sizes::Sizes;
 use super::statistics::Statistics;
 use crate::maps::HashMap;
@@ -85,12 +85,12 @@
     Reconciled {
         epoch: u64,
         from: String,
-        revived: Vec<LoadedJob>,
+        restored: Vec<LoadedJob>,
     },
     /// Another controller was asked whether it leads; `None`: no answer.
     PeerAnswered {
         peer: String,
-        stance: Option<Stance>,
+        peer_state: Option<PeerState>,
     },
     /// A call to another controller got no answer in time.
     PeerSilent {
@@ -111,13 +111,13 @@
 
 /// Speaks to the actor; answers HTTP requests and other controllers.
 #[derive(Clone)]
-pub struct Front {
+pub struct NodeHandle {
     users: mpsc::Sender<UserMessage>,
     reports: mpsc::Sender<ReportMessage>,
     ready: watch::Receiver<bool>,
 }
 
-impl Front {
+impl NodeHandle {
     async fn user(&self, call: PeerCall, origin: Origin) -> Answer {
         self.ask(|reply| UserMessage::Call { call, reply, origin, arrived: Instant::now() }).await
     }
@@ -183,14 +183,14 @@
     }
 }
 
-impl Handler for Front {
+impl Handler for NodeHandle {
     async fn handle(&self, request: Request) -> Response {
         let Answer { status, body, retry_after_s } = self.route(request).await;
         Response { status, body, retry_after_s, close: false }
     }
 }
 
-impl PeerHandler for Front {
+impl PeerHandler for NodeHandle {
     async fn handle(&self, call: PeerCall, relay: bool) -> PeerReply {
         let origin = if relay { Origin::Relay } else { Origin::Peer };
         let answer = match call {
@@ -280,7 +280,7 @@
         term: watch::Sender<Instant>,
         abandoned: watch::Sender<u64>,
         roles: mpsc::Receiver<Role>,
-    ) -> (Self, Inputs, Front) {
+    ) -> (Self, Inputs, NodeHandle) {
         let sizes = Sizes::new(&config.settings.cluster.limits);
         let (users_in, users) = mpsc::channel(sizes.users);
         let (reports_in, reports) = mpsc::channel(sizes.reports);
@@ -327,8 +327,8 @@
             walking: false,
             statistics: Statistics::new(),
         };
-        let front = Front { users: users_in, reports: reports_in, ready: is_ready };
-        (node, Inputs { users, reports, inner, roles }, front)
+        let handle = NodeHandle { users: users_in, reports: reports_in, ready: is_ready };
+        (node, Inputs { users, reports, inner, roles }, handle)
     }
 
     pub async fn run(mut self, mut inputs: Inputs) {
@@ -428,7 +428,7 @@
                         tracing::info!(
                             epoch,
                             jobs = loaded.jobs.len(),
-                            hires = loaded.hires.len(),
+                            rentals = loaded.rentals.len(),
                             "records read"
                         );
                         let mut leader = Leader::new(self.config.clone(), epoch, now, wall_ms(), loaded);
@@ -459,7 +459,7 @@
                 }
             }
             Inner::DirectDone => self.directs -= 1,
-            Inner::PeerAnswered { peer, stance } => self.peer_answered(now, &peer, stance),
+            Inner::PeerAnswered { peer, peer_state } => self.peer_answered(now, &peer, peer_state),
             Inner::PeerSilent { peer } => self.peers.silent(now, &peer),
             Inner::LeaderReached(true) => self.unreached = None,
             Inner::LeaderReached(false) => drop(self.unreached.get_or_insert(now)),
@@ -470,11 +470,11 @@
                 }
             }
             Inner::Unanswered { reply, job } => self.look_up(reply, job, Answer::refused(404, "no such job")),
-            Inner::Reconciled { epoch, from, revived } => {
+            Inner::Reconciled { epoch, from, restored } => {
                 self.walking = false;
                 self.walk_from = from;
                 if let Some(leader) = self.leader.as_mut().filter(|l| l.epoch() == epoch) {
-                    leader.revive(now, wall_ms(), revived);
+                    leader.restore(now, wall_ms(), restored);
                 }
             }
         }
@@ -503,7 +503,8 @@
         if (leads || follows) && !unreached {
             self.peers.rest();
         }
-        if !(leads || follows) || unreached || self.leader.as_ref().is_some_and(Leader::awaits_graces) {
+        if !(leads || follows) || unreached || self.leader.as_ref().is_some_and(Leader::awaits_lapse_windows)
+        {
             self.ask_peers(now);
         }
         // A leader that nobody here can reach, for longer than it would lead if it
@@ -536,23 +537,23 @@
             let inner = self.inner.clone();
             tokio::spawn(async move {
                 let reply = link.call(PeerCall::Lead, false, patience).await;
-                let stance = reply.and_then(|r| {
+                let peer_state = reply.and_then(|r| {
                     let body = decode(&r.body).ok()?;
                     let f = Fields::of(&body).ok()?;
                     match r.status {
-                        200 => f.count("epoch").ok().map(Stance::Leads),
-                        _ if f.bool("free").ok()? => Some(Stance::Free),
-                        _ => Some(Stance::Lapsed),
+                        200 => f.count("epoch").ok().map(PeerState::Leads),
+                        _ if f.bool("free").ok()? => Some(PeerState::Free),
+                        _ => Some(PeerState::Lapsed),
                     }
                 });
-                let _ = inner.send(Inner::PeerAnswered { peer, stance }).await;
+                let _ = inner.send(Inner::PeerAnswered { peer, peer_state }).await;
             });
         }
     }
 
-    fn peer_answered(&mut self, now: Instant, peer: &str, stance: Option<Stance>) {
-        self.peers.answered(now, peer, stance);
-        if stance.is_some() && self.other_leader(now).is_some_and(|(leader, _)| leader == peer) {
+    fn peer_answered(&mut self, now: Instant, peer: &str, peer_state: Option<PeerState>) {
+        self.peers.answered(now, peer, peer_state);
+        if peer_state.is_some() && self.other_leader(now).is_some_and(|(leader, _)| leader == peer) {
             self.unreached = None;
         }
         // Nobody else answers workers any more: the wait for silent machines
@@ -561,10 +562,10 @@
         if let Some(leader) = self.leader.as_mut().filter(|_| listed)
             && let Some(at) = self.peers.all_free_since(leader.loaded_at)
         {
-            leader.graces_are_over(at);
+            leader.lapse_windows_are_over(at);
         }
         // A higher epoch means that the key was written anew: ours is over, and
-        // keeping workers here for the rest of the grace would only hold them
+        // keeping workers here for the rest of the lapse window would only hold them
         // back from their new leader.
         let epoch = self.peers.leading(now).map_or(0, |(_, epoch)| epoch);
         if self.leader.as_ref().is_some_and(|l| l.epoch() < epoch) {
@@ -593,8 +594,8 @@
         let (store, inner, epoch) = (self.store.clone(), self.inner.clone(), leader.epoch());
         let (from, value_kb) = (self.walk_from.clone(), self.config.settings.cluster.state.value_kb);
         tokio::spawn(async move {
-            let (next, revived) = walk(&store, epoch, &from, value_kb).await.unwrap_or((from, Vec::new()));
-            let _ = inner.send(Inner::Reconciled { epoch, from: next, revived }).await;
+            let (next, restored) = walk(&store, epoch, &from, value_kb).await.unwrap_or((from, Vec::new()));
+            let _ = inner.send(Inner::Reconciled { epoch, from: next, restored }).await;
         });
     }
 
--- a/src/coordination/node/tests.rs
+++ b/src/coordination/node/tests.rs
@@ -21,7 +21,7 @@
     }
 }
 
-async fn rig() -> (Node, Inputs, Front) {
+async fn rig() -> (Node, Inputs, NodeHandle) {
     let world = StandIn::start(&[]).await;
     let mut settings = crate::settings::tests::sample();
     let second = settings.peers[0].clone();
@@ -38,12 +38,12 @@
 /// The edge refuses at once: nobody is held while the buffer is full.
 #[tokio::test]
 async fn a_full_buffer_refuses_at_once_with_a_time_to_come_back() {
-    let (node, _inputs, front) = rig().await;
+    let (node, _inputs, handle) = rig().await;
     for _ in 0..node.sizes.users {
         let (reply, _) = oneshot::channel();
-        assert!(front.users.try_send(UserMessage::Status { reply }).is_ok());
+        assert!(handle.users.try_send(UserMessage::Status { reply }).is_ok());
     }
-    let answer = front.route(request("GET", "/api/jobs/job-1", b"")).await;
+    let answer = handle.route(request("GET", "/api/jobs/job-1", b"")).await;
     assert_eq!((answer.status, answer.retry_after_s), (429, Some(1)));
 }
 
@@ -103,15 +103,15 @@
     node.unreached = Instant::now().checked_sub(node.config.tuning.lease);
     node.tick();
     assert!(!*node.ready.borrow());
-    node.peer_answered(Instant::now(), "c-2", Some(Stance::Free));
+    node.peer_answered(Instant::now(), "c-2", Some(PeerState::Free));
     node.tick();
     assert!(!*node.ready.borrow(), "another that can be reached is of no use by itself");
-    node.peer_answered(Instant::now(), "c-1", Some(Stance::Leads(7)));
+    node.peer_answered(Instant::now(), "c-1", Some(PeerState::Leads(7)));
     node.tick();
     assert!(*node.ready.borrow());
 }
 
-/// A leader cut off from the state service alone: its grace ends, and its
+/// A leader cut off from the state service alone: its lapse window ends, and its
 /// workers are sent to the new leader, as soon as that one is heard of.
 #[tokio::test]
 async fn a_lapsed_leader_ends_its_grace_when_it_hears_of_a_higher_epoch() {
@@ -122,9 +122,9 @@
     node.role = Role::Leads { epoch: 40, until: now };
     node.tick();
     assert!(!*node.ready.borrow(), "it never was ready, and leads no more");
-    node.peer_answered(now, "c-1", Some(Stance::Leads(39)));
+    node.peer_answered(now, "c-1", Some(PeerState::Leads(39)));
     assert!(node.leader.is_some(), "an earlier epoch is no news");
-    node.peer_answered(now, "c-1", Some(Stance::Leads(41)));
+    node.peer_answered(now, "c-1", Some(PeerState::Leads(41)));
     assert!(node.leader.is_none());
     assert_eq!(node.other_leader(now), Some(("c-1", 41)));
     node.tick();
@@ -170,7 +170,7 @@
     let lost = send(&mut node, Some(Vec::new())).await.expect("answered at once");
     assert_eq!(named(lost), (421, None));
     // A new leader: the way to it may be open.
-    node.peers.answered(Instant::now(), "c-1", Some(Stance::Free));
+    node.peers.answered(Instant::now(), "c-1", Some(PeerState::Free));
     node.take_role(Role::Follows { leader: "c-2".into(), epoch: 7 });
     let next = send(&mut node, Some(Vec::new())).await.expect("answered");
     assert_eq!(named(next), (421, Some("c-2".into())));
@@ -229,7 +229,7 @@
 
 #[tokio::test]
 async fn what_was_handed_on_cannot_be_handed_on_again() {
-    let (_node, mut inputs, front) = rig().await;
+    let (_node, mut inputs, handle) = rig().await;
     let report = MapBuilder::new()
         .set("bench", "vm-1")
         .set("address", "")
@@ -240,11 +240,11 @@
         .set("baton", 1)
         .build();
     for handed_on in [false, true] {
-        let (front, body) = (front.clone(), encode(&report));
+        let (handle, body) = (handle.clone(), encode(&report));
         tokio::spawn(async move {
             match handed_on {
-                true => drop(PeerHandler::handle(&front, PeerCall::Report(body), false).await),
-                false => drop(front.route(request("POST", "/agent/beat", &body)).await),
+                true => drop(PeerHandler::handle(&handle, PeerCall::Report(body), false).await),
+                false => drop(handle.route(request("POST", "/agent/beat", &body)).await),
             }
         });
         let message = inputs.reports.recv().await.expect("a report");
@@ -254,7 +254,7 @@
 
 #[tokio::test]
 async fn wrong_paths_and_methods_get_their_status() {
-    let (_node, _inputs, front) = rig().await;
+    let (_node, _inputs, handle) = rig().await;
     for (method, target, status) in [
         ("GET", "/nowhere", 404),
         ("GET", "/api/jobs", 405),
@@ -265,7 +265,7 @@
         ("POST", "/agent/beat", 400),
         ("GET", "/ready", 503),
     ] {
-        assert_eq!(front.route(request(method, target, b"")).await.status, status, "{method} {target}");
+        assert_eq!(handle.route(request(method, target, b"")).await.status, status, "{method} {target}");
     }
 }
 
--- a/src/coordination/peers.rs
+++ b/src/coordination/peers.rs
@@ -5,7 +5,7 @@
 //! The others may know; that says only where requests and reports are handed on
 //! to, and the leader answers them under its own lease. One thing is concluded
 //! from it: that no earlier leader answers workers any more, see
-//! `Leader::graces_are_over`.
+//! `Leader::lapse_windows_are_over`.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -30,7 +30,7 @@
 
 /// How a controller stands to leading, by its own words.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Stance {
+pub enum PeerState {
     /// Under a valid lease.
     Leads(u64),
     /// Past its lease; it may still answer workers for a while.
@@ -73,18 +73,18 @@
     }
 
     /// A peer's answer, if there was any.
-    pub fn answered(&mut self, now: Instant, name: &str, answer: Option<Stance>) {
+    pub fn answered(&mut self, now: Instant, name: &str, answer: Option<PeerState>) {
         let Some(peer) = self.peers.get_mut(name) else { return };
         peer.asking = false;
         match answer {
-            Some(stance) => {
+            Some(peer_state) => {
                 peer.heard_at = Some(now);
                 peer.failed_at = None;
-                peer.leads = match stance {
-                    Stance::Leads(epoch) => Some((epoch, now)),
+                peer.leads = match peer_state {
+                    PeerState::Leads(epoch) => Some((epoch, now)),
                     _ => None,
                 };
-                if stance == Stance::Free {
+                if peer_state == PeerState::Free {
                     peer.free_at = Some(now);
                 }
             }
--- a/src/coordination/peers/tests.rs
+++ b/src/coordination/peers/tests.rs
@@ -12,11 +12,11 @@
     let mut p = peers();
     assert_eq!(p.to_ask(now), ["c-1", "c-2"]);
     assert!(p.to_ask(now + TTL).is_empty(), "one question at a time");
-    p.answered(now, "c-1", Some(Stance::Leads(40)));
-    p.answered(now, "c-2", Some(Stance::Leads(41)));
+    p.answered(now, "c-1", Some(PeerState::Leads(40)));
+    p.answered(now, "c-2", Some(PeerState::Leads(41)));
     assert_eq!(p.leading(now), Some(("c-2", 41)));
     assert_eq!(p.leading(now + TTL), None, "not heard of lately");
-    p.answered(now + TTL, "c-2", Some(Stance::Free));
+    p.answered(now + TTL, "c-2", Some(PeerState::Free));
     assert_eq!(p.leading(now + TTL), None);
 }
 
@@ -29,7 +29,7 @@
     p.answered(now, "c-1", None);
     assert!(!p.cut_off(now + TTL / 2) && p.cut_off(now + TTL));
     p.to_ask(now + TTL);
-    p.answered(now + TTL, "c-1", Some(Stance::Free));
+    p.answered(now + TTL, "c-1", Some(PeerState::Free));
     assert!(!p.cut_off(now + TTL), "somebody is there");
     p.rest();
     assert!(!p.cut_off(now + TTL * 9), "a leader is known");
@@ -73,12 +73,12 @@
 fn all_others_must_say_that_they_answer_no_worker_and_after_the_takeover() {
     let now = Instant::now();
     let mut p = peers();
-    p.answered(now, "c-1", Some(Stance::Free));
-    p.answered(now + TTL, "c-1", Some(Stance::Lapsed));
-    p.answered(now + TTL, "c-2", Some(Stance::Free));
+    p.answered(now, "c-1", Some(PeerState::Free));
+    p.answered(now + TTL, "c-1", Some(PeerState::Lapsed));
+    p.answered(now + TTL, "c-2", Some(PeerState::Free));
     assert_eq!(p.all_free_since(now), Some(now + TTL), "what was free takes no epoch up again");
     assert_eq!(p.all_free_since(now + TTL), None, "said before the takeover, it may have led since");
-    p.answered(now + TTL * 2, "c-1", Some(Stance::Free));
+    p.answered(now + TTL * 2, "c-1", Some(PeerState::Free));
     assert_eq!(p.all_free_since(now + TTL), Some(now + TTL * 2));
     assert_eq!(Peers::new([], TTL).all_free_since(now), Some(now));
 }
--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -82,7 +82,7 @@
         // Machines are heard one after the other, and none becomes unheard: what
         // was counted last is never too little.
         self.unheard = Resources::default();
-        for m in self.machines.values().filter(|m| !self.was_whole && m.used && !m.known) {
+        for m in self.machines.values().filter(|m| !self.recovered && m.used && !m.known) {
             self.unheard.add(&self.catalog.get(m.kind).map(Resources::of_type).unwrap_or_default());
         }
         // One that has missed its time to report may be dead.
@@ -111,7 +111,7 @@
         let (Some(j), Some(m)) = (self.jobs.get(job), self.machines.get(machine)) else { return false };
         // While its own team is at its limit, or its tasks may still be somewhere,
         // room would not help it: others must not wait beside an empty machine.
-        if !self.team_has_room(j) || !(self.was_whole || j.unproven == 0) {
+        if !self.team_has_room(j) || !(self.recovered || j.unproven == 0) {
             self.reserved.remove(job);
             return false;
         }
@@ -278,9 +278,9 @@
                 continue;
             }
             while started < most && self.may_start(now, ranked, machine) {
-                let whole = self.was_whole;
+                let recovered = self.recovered;
                 let Some(job) = self.jobs.get_mut(&ranked.job) else { break };
-                let least = if whole { 0 } else { job.unproven };
+                let least = if recovered { 0 } else { job.unproven };
                 let Some(index) = job.next_pending(least) else { break };
                 let Some(counter) = self.next_attempt.checked_add(1) else {
                     tracing::error!("attempt numbers of this epoch are used up");
@@ -311,7 +311,7 @@
 
     /// Whether the job's next task may and should start on this machine.
     fn may_start(&mut self, now: Instant, ranked: &Ranked, machine: &MachineId) -> bool {
-        let whole = self.was_whole;
+        let recovered = self.recovered;
         let Some(j) = self.jobs.get_mut(&ranked.job) else { return false };
         if j.pending() == 0 || j.hold_until.is_some_and(|until| now < until && !j.active.is_empty()) {
             return false;
@@ -327,10 +327,10 @@
         // Those that never began, and jobs accepted in this epoch, cannot be
         // there; where the others are may decide in which zone they may start.
         let tied = j.spec().one_zone || j.spec().spread;
-        if !whole && j.unproven > 0 && tied {
+        if !recovered && j.unproven > 0 && tied {
             return false;
         }
-        let least = if whole { 0 } else { j.unproven };
+        let least = if recovered { 0 } else { j.unproven };
         let Some(next) = j.next_pending(least) else { return false };
         if next >= j.begun {
             self.begin(&ranked.job);
@@ -503,7 +503,7 @@
     fn team_has_room(&self, job: &Job) -> bool {
         let Some(team) = job.team.and_then(|t| self.teams.get(t)) else { return false };
         let mut used = team.used;
-        if !self.was_whole {
+        if !self.recovered {
             // What is on unheard machines may all be this team's.
             used.add(&self.unheard);
         }
@@ -538,7 +538,7 @@
     /// Frees room for work within its guarantee from work beyond another's,
     /// and for work of higher priority from lower. Only tasks that lose little.
     pub(super) fn preempt(&mut self, now: Instant) {
-        if !self.was_whole
+        if !self.recovered
             || self.config.tuning.preempt_loss_s.max(self.config.tuning.preempt_lower_loss_s) <= 0.0
         {
             return;
--- a/src/coordination/tests/cancellation.rs
+++ b/src/coordination/tests/cancellation.rs
@@ -60,18 +60,20 @@
 #[test]
 fn what_a_leader_answers_in_its_lapse_ends_before_a_cancellation_must_have() {
     let mut settings = settings::tests::sample();
-    let mut graces = Vec::new();
+    let mut windows = Vec::new();
     for cancel_s in [1.0, 10.0, 20.0, 30.0, 35.0, 40.0, 52.0, 600.0] {
         settings.cluster.workers.cancel_s = cancel_s;
         let config = Config { settings: settings.clone(), tuning: policy::tests::tuning() };
         let workers = &config.settings.cluster.workers;
-        let last = config.grace() + config.lease_proof() + ANSWER_WITHIN;
-        assert!(config.grace().is_zero() || last <= workers.cancellation(), "{cancel_s}");
-        assert!(config.grace() <= workers.lease() / 2);
-        assert_eq!(config.takeover_proof(), config.lease_proof() + config.grace(), "the other half");
-        graces.push(config.grace());
+        let last = config.lapse_window() + config.lease_proof() + ANSWER_WITHIN;
+        assert!(config.lapse_window().is_zero() || last <= workers.cancellation(), "{cancel_s}");
+        assert!(config.lapse_window() <= workers.lease() / 2);
+        assert_eq!(config.takeover_proof(), config.lease_proof() + config.lapse_window(), "the other half");
+        windows.push(config.lapse_window());
     }
-    assert!(graces.is_sorted() && graces[0].is_zero() && graces[7] == settings.cluster.workers.lease() / 2);
+    assert!(
+        windows.is_sorted() && windows[0].is_zero() && windows[7] == settings.cluster.workers.lease() / 2
+    );
 }
 
 /// The outage comes right after the cancellation: every answer in the lapse
@@ -105,7 +107,7 @@
     let mut over = loaded_job(sample("job-1", "red", 1, 1.0));
     over.record.cancelled = true;
     let live = loaded_job(sample("job-2", "red", 1, 1.0));
-    let mut rig = Rig::new(vec![over, live], vec![hired("vm-1", true)]);
+    let mut rig = Rig::new(vec![over, live], vec![rented("vm-1", true)]);
     let task = |job: &str| (TaskId { job: id(job), index: 0 }, 7);
     let tasks = ["job-1", "job-2", "job-3"].map(|job| listed(&task(job), TaskState::Running));
     // Of the third nothing is known: it is over, and its row has moved.
--- a/src/coordination/tests/lease.rs
+++ b/src/coordination/tests/lease.rs
@@ -36,7 +36,7 @@
     assert_eq!(rig.standing("job-1"), Some(Standing::Queued));
 }
 
-/// Frozen past its lease and the grace, clocks running on: what it finds when it
+/// Frozen past its lease and the lapse window, clocks running on: what it finds when it
 /// wakes, late copies and repeats of what was carried out included, moves it to
 /// nothing, whatever is asked first.
 #[test]
@@ -52,7 +52,7 @@
     rig.cloud.clear();
     let end = rig.now + Duration::from_secs(3);
     rig.leader.extend(rig.now, end);
-    rig.now = end + rig.config.grace() + Duration::from_secs(20);
+    rig.now = end + rig.config.lapse_window() + Duration::from_secs(20);
     for (seq, tasks) in [(6, running.clone()), (7, running), (8, vec![])] {
         assert_eq!(rig.report("vm-1", 1, seq, EPOCH, tasks), ReportReply::Elsewhere);
     }
@@ -71,14 +71,14 @@
     rig.accept(sample("job-2", "red", 1, 1.0));
     let end = rig.now + Duration::from_secs(1);
     rig.leader.extend(rig.now, end);
-    rig.now = end + rig.config.grace() / 2;
+    rig.now = end + rig.config.lapse_window() / 2;
     let report = vec![listed(&start, DONE)];
     assert_eq!(rig.beat("vm-1", 6, EPOCH, report.clone()), vec![], "no start, no reap");
     assert!(rig.commits.is_empty());
     // One that this epoch has not heard, or that another leads by now.
     assert_eq!(rig.report("vm-9", 1, 1, EPOCH, vec![]), ReportReply::Elsewhere);
     assert_eq!(rig.report("vm-1", 1, 7, EPOCH + 1, vec![]), ReportReply::Elsewhere);
-    rig.now = end + rig.config.grace();
+    rig.now = end + rig.config.lapse_window();
     assert_eq!(rig.report("vm-1", 1, 7, EPOCH, report.clone()), ReportReply::Elsewhere);
     // Resumed, the same report is news.
     rig.leader.extend(rig.now, rig.now + Duration::from_secs(60));
--- a/src/coordination/tests/mod.rs
+++ b/src/coordination/tests/mod.rs
@@ -3,14 +3,14 @@
 
 mod cancellation;
 mod lease;
-mod meetings;
+mod overlapping_faults;
 mod placing;
 mod records;
 mod renting;
 mod reports;
 mod sequences;
+mod simulation;
 mod takeover;
-mod world;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,13 +23,13 @@
 use super::model::ReplyTo;
 use crate::policy;
 use crate::protocol::cbor::{Fields, decode};
-use crate::protocol::cloud::{HireRequest, ListPage, Listed, ListedState, MachineType};
+use crate::protocol::cloud::{ListPage, Listed, ListedState, MachineType, RentalRequest};
 use crate::protocol::jobs::tests::sample;
 use crate::protocol::jobs::{Form, JobId, JobSpec, Priority, Standing, TaskId};
 use crate::protocol::state::Change;
 use crate::protocol::workers::{ANSWER_WITHIN, ExitCause, MachineId, Order, Report, TaskReport, TaskState};
 use crate::settings;
-use crate::storage::records::{HIRES, HireRecord, JobRecord, live_key, over_key, record_key};
+use crate::storage::records::{JobRecord, RENTALS, RentalRecord, live_key, over_key, record_key};
 use crate::storage::service::{Class, StoreError, Transaction};
 
 const EPOCH: u64 = 40;
@@ -72,8 +72,8 @@
 }
 
 /// A fleet record of one machine in zone `z1`.
-fn hired(name: &str, used: bool) -> (HireRecord, u64) {
-    let request = HireRequest {
+fn rented(name: &str, used: bool) -> (RentalRecord, u64) {
+    let request = RentalRequest {
         name: format!("1-{name}"),
         machine_type: "m8".into(),
         zone: if name.ends_with('b') { "z2".into() } else { "z1".into() },
@@ -82,7 +82,7 @@
     };
     let id = machine(name);
     (
-        HireRecord {
+        RentalRecord {
             request,
             machines: Some(vec![id.clone()]),
             used: used.then_some(id).into_iter().collect(),
@@ -101,19 +101,19 @@
 impl Rig {
     /// A leader that has just read these records. Idle machines stay for two boots,
     /// so that tests of other things keep theirs.
-    fn new(jobs: Vec<LoadedJob>, hires: Vec<(HireRecord, u64)>) -> Self {
+    fn new(jobs: Vec<LoadedJob>, rentals: Vec<(RentalRecord, u64)>) -> Self {
         let tuning = policy::Tuning { preempt_loss_s: 8.0, idle_ratio: 2.0, ..policy::tests::tuning() };
-        Rig::tuned(jobs, hires, tuning)
+        Rig::tuned(jobs, rentals, tuning)
     }
 
-    fn tuned(jobs: Vec<LoadedJob>, hires: Vec<(HireRecord, u64)>, tuning: policy::Tuning) -> Self {
-        Rig::configured(jobs, hires, Config { settings: settings::tests::sample(), tuning })
+    fn tuned(jobs: Vec<LoadedJob>, rentals: Vec<(RentalRecord, u64)>, tuning: policy::Tuning) -> Self {
+        Rig::configured(jobs, rentals, Config { settings: settings::tests::sample(), tuning })
     }
 
-    fn configured(jobs: Vec<LoadedJob>, hires: Vec<(HireRecord, u64)>, config: Config) -> Self {
+    fn configured(jobs: Vec<LoadedJob>, rentals: Vec<(RentalRecord, u64)>, config: Config) -> Self {
         let config = Arc::new(config);
         let now = Instant::now();
-        let loaded = Loaded { jobs, hires, catalog: Some((catalog(), 2)), experience: None };
+        let loaded = Loaded { jobs, rentals, catalog: Some((catalog(), 2)), experience: None };
         let mut leader = Leader::new(config.clone(), EPOCH, now, MS, loaded);
         leader.extend(now, now + Duration::from_secs(3600));
         let mut rig = Rig {
@@ -134,7 +134,7 @@
 
     /// With machines that are up, known and recorded as used.
     fn with_machines(names: &[&str]) -> Self {
-        let mut rig = Rig::new(Vec::new(), names.iter().map(|n| hired(n, true)).collect());
+        let mut rig = Rig::new(Vec::new(), names.iter().map(|n| rented(n, true)).collect());
         for name in names {
             rig.beat(name, 1, EPOCH, vec![]);
         }
--- a/src/coordination/tests/meetings.rs
+++ b/src/coordination/tests/overlapping_faults.rs
@@ -1,26 +1,26 @@
-//! The meetings of two troubles that the users named, each brought about on a whole
+//! The overlapping faults of two faults that the users named, each brought about on a whole
 //! cluster: no rule may break, and it is shown that the meeting took place. The
 //! table in `docs/design.md` has the argument for each.
 
 use super::sequences::in_simulated_time;
-use super::world::{Trouble, World};
+use super::simulation::{Fault, Simulation};
 
-use Trouble::*;
+use Fault::*;
 
 const CALM: f64 = 130.0;
 const END: f64 = 300.0;
 
 /// Plays the meeting with three controllers, and with five.
-fn meet(troubles: &[(f64, Trouble)], took_place: impl Fn(&World) -> bool) {
+fn meet(faults: &[(f64, Fault)], took_place: impl Fn(&Simulation) -> bool) {
     for (seed, controllers) in [(1, 3), (2, 5)] {
-        let world = in_simulated_time(async {
-            let mut world = World::new(seed, controllers, troubles.to_vec(), CALM);
-            world.run(END).await;
-            world.check_end();
-            world
+        let simulation = in_simulated_time(async {
+            let mut simulation = Simulation::new(seed, controllers, faults.to_vec(), CALM);
+            simulation.run(END).await;
+            simulation.check_end();
+            simulation
         });
-        assert!(world.broken.is_empty(), "{controllers} controllers: {:#?}", world.broken);
-        assert!(world.starts > 20 && took_place(&world), "{controllers} controllers: nothing met");
+        assert!(simulation.broken.is_empty(), "{controllers} controllers: {:#?}", simulation.broken);
+        assert!(simulation.starts > 20 && took_place(&simulation), "{controllers} controllers: nothing met");
     }
 }
 
@@ -199,9 +199,9 @@
 #[test]
 fn leaders_change_ten_times_in_two_minutes_within_an_outage_too() {
     let crash = Crash { controller: None, back: 0.5 };
-    let mut troubles: Vec<_> = (0..12).map(|n| (25.0 + 8.0 * f64::from(n), crash)).collect();
-    troubles.extend([(60.0, Outage { lasts: 20.0 }), (58.0, CancelNow { count: 3, hang: 0.0 })]);
-    meet(&troubles, |w| w.leaders.len() >= 6);
+    let mut faults: Vec<_> = (0..12).map(|n| (25.0 + 8.0 * f64::from(n), crash)).collect();
+    faults.extend([(60.0, Outage { lasts: 20.0 }), (58.0, CancelNow { count: 3, hang: 0.0 })]);
+    meet(&faults, |w| w.leaders.len() >= 6);
 }
 
 #[test]
--- a/src/coordination/tests/placing.rs
+++ b/src/coordination/tests/placing.rs
@@ -212,8 +212,8 @@
 /// longer than any report does, while machines with the image had room.
 #[test]
 fn prompt_work_goes_to_a_machine_that_has_its_image() {
-    let hires = ["vm-1", "vm-3"].map(|name| hired(name, true)).into();
-    let mut rig = Rig::configured(Vec::new(), hires, with_a_prompt_aim());
+    let rentals = ["vm-1", "vm-3"].map(|name| rented(name, true)).into();
+    let mut rig = Rig::configured(Vec::new(), rentals, with_a_prompt_aim());
     for name in ["vm-1", "vm-3"] {
         rig.beat(name, 1, EPOCH, vec![]);
     }
@@ -233,8 +233,8 @@
 #[test]
 fn a_new_leader_learns_images_from_what_runs() {
     let jobs = vec![loaded_job(fetching_for_seconds("job-1", 1))];
-    let hires = ["vm-1", "vm-3"].map(|name| hired(name, true)).into();
-    let mut rig = Rig::configured(jobs, hires, with_a_prompt_aim());
+    let rentals = ["vm-1", "vm-3"].map(|name| rented(name, true)).into();
+    let mut rig = Rig::configured(jobs, rentals, with_a_prompt_aim());
     let running = TaskReport {
         task: TaskId { job: id("job-1"), index: 0 },
         attempt: EPOCH << 31,
@@ -250,7 +250,7 @@
 
 /// A leader with a prompt aim and one idle machine, whose last report is returned.
 fn with_a_held_report() -> (Rig, Report) {
-    let mut rig = Rig::configured(Vec::new(), vec![hired("vm-1", true)], with_a_prompt_aim());
+    let mut rig = Rig::configured(Vec::new(), vec![rented("vm-1", true)], with_a_prompt_aim());
     rig.beat("vm-1", 1, EPOCH, vec![]);
     assert!(!rig.leader.may_hold(&rig.reported("vm-1", 1, vec![])), "no prompt class is known yet");
     // One of the class has come, and ended: others are likely to.
@@ -299,7 +299,7 @@
 /// A cancellation is not to wait until a hold ends, and the answer carries its stop.
 #[test]
 fn a_stop_ends_a_hold() {
-    let mut rig = Rig::configured(Vec::new(), vec![hired("vm-1", true)], with_a_prompt_aim());
+    let mut rig = Rig::configured(Vec::new(), vec![rented("vm-1", true)], with_a_prompt_aim());
     rig.beat("vm-1", 1, EPOCH, vec![]);
     rig.accept(JobSpec { form: Form::Service, ..sample("job-1", "blue", 1, 1.0) });
     let start = starts(&rig.beat("vm-1", 2, EPOCH, vec![])).remove(0);
--- a/src/coordination/tests/records.rs
+++ b/src/coordination/tests/records.rs
@@ -25,7 +25,7 @@
 fn a_lagging_row_is_repaired_from_the_record_after_a_takeover() {
     let mut settled = loaded_job(sample("job-1", "red", 1, 1.0));
     settled.record.settled = true;
-    let mut rig = Rig::new(vec![settled], vec![hired("vm-1", true)]);
+    let mut rig = Rig::new(vec![settled], vec![rented("vm-1", true)]);
     assert_eq!(rig.standing("job-1"), Some(Standing::Done));
     assert!(rig.commits.is_empty(), "not while a machine may still hold a task of it");
     rig.beat("vm-1", 5, EPOCH, vec![]);
@@ -34,9 +34,9 @@
 }
 
 #[test]
-fn a_revived_job_waits_until_no_machine_can_still_hold_its_tasks() {
+fn a_restored_job_waits_until_no_machine_can_still_hold_its_tasks() {
     let mut rig = Rig::with_machines(&["vm-1"]);
-    rig.leader.revive(rig.now, MS, vec![loaded_job(sample("job-1", "red", 1, 1.0))]);
+    rig.leader.restore(rig.now, MS, vec![loaded_job(sample("job-1", "red", 1, 1.0))]);
     assert_eq!(starts(&rig.beat("vm-1", 5, EPOCH, vec![])), vec![]);
     let mut seq = 5;
     while rig.now < rig.leader.loaded_at + rig.config.takeover_proof() {
--- a/src/coordination/tests/renting.rs
+++ b/src/coordination/tests/renting.rs
@@ -34,7 +34,7 @@
     assert_eq!(
         rig.report("vm-1", 1, 6, EPOCH, vec![]),
         ReportReply::Elsewhere,
-        "a late copy revives nothing"
+        "a late copy restores nothing"
     );
 }
 
@@ -44,19 +44,19 @@
     rig.accept(sample("job-1", "red", 1, 1.0));
     // Nobody expected them: entered first, by name and as used, those of one kind
     // with one write.
-    let strangers = ["vm-8", "vm-9"];
-    for name in strangers {
+    let unexpected = ["vm-8", "vm-9"];
+    for name in unexpected {
         assert_eq!(rig.beat(name, 1, 0, vec![]), vec![]);
         assert_eq!(rig.beat(name, 2, EPOCH, vec![]), vec![]);
     }
     rig.pass(1.1);
     assert_eq!(rig.beat("vm-9", 3, EPOCH, vec![]), vec![], "not recorded yet");
     let written = rig.commit_all();
-    let of_strangers = |c: &&Change| c.key().starts_with(HIRES) && c.key().contains("x-");
-    let hires: Vec<_> = written.iter().flat_map(|t| &t.changes).filter(of_strangers).collect();
-    let [Change::Put { value, .. }] = hires[..] else { panic!("{hires:?}") };
-    let record = HireRecord::decode(value).expect("readable");
-    assert_eq!(record.used, strangers.map(machine).into_iter().collect());
+    let of_unexpected = |c: &&Change| c.key().starts_with(RENTALS) && c.key().contains("x-");
+    let rentals: Vec<_> = written.iter().flat_map(|t| &t.changes).filter(of_unexpected).collect();
+    let [Change::Put { value, .. }] = rentals[..] else { panic!("{rentals:?}") };
+    let record = RentalRecord::decode(value).expect("readable");
+    assert_eq!(record.used, unexpected.map(machine).into_iter().collect());
     assert_eq!(starts(&rig.beat("vm-9", 4, EPOCH, vec![])).len(), 1);
 }
 
@@ -64,7 +64,7 @@
 /// request of the same kind, type and zone, whose machines they may be, is open.
 #[test]
 fn a_machine_that_was_not_expected_is_entered_once() {
-    let (mut record, version) = hired("vm-1", false);
+    let (mut record, version) = rented("vm-1", false);
     record.machines = None;
     let mut rig = Rig::new(Vec::new(), vec![(record, version)]);
     let entered = |rig: &Rig, name: &str| rig.leader.machines.contains_key(&machine(name));
@@ -76,21 +76,21 @@
         rig.beat("vm-9b", seq, EPOCH, vec![]);
         rig.pass(1.1);
     }
-    let names: Vec<_> = rig.leader.hires.values().filter_map(|h| h.record.machines.as_ref()).collect();
+    let names: Vec<_> = rig.leader.rentals.values().filter_map(|h| h.record.machines.as_ref()).collect();
     assert_eq!(names, [&[machine("vm-9b")]]);
 }
 
 #[test]
-fn an_unresolved_hire_is_asked_again_under_its_own_name() {
-    let (mut record, version) = hired("vm-1", false);
+fn an_unresolved_rental_is_asked_again_under_its_own_name() {
+    let (mut record, version) = rented("vm-1", false);
     record.machines = None;
     let name = record.request.name.clone();
     let mut rig = Rig::new(Vec::new(), vec![(record, version)]);
     rig.pass(3.0);
     let (ticket, call) =
-        rig.cloud.iter().find(|(_, c)| matches!(c, CloudCall::Hire(_))).cloned().expect("asked again");
-    assert!(matches!(call, CloudCall::Hire(r) if r.name == name));
-    rig.leader.cloud_done(rig.now, ticket, Ok(CloudReply::Hired(vec![machine("vm-1")])));
+        rig.cloud.iter().find(|(_, c)| matches!(c, CloudCall::Rent(_))).cloned().expect("asked again");
+    assert!(matches!(call, CloudCall::Rent(r) if r.name == name));
+    rig.leader.cloud_done(rig.now, ticket, Ok(CloudReply::Rented(vec![machine("vm-1")])));
     rig.collect();
     rig.commit_all();
     rig.accept(sample("job-1", "red", 1, 1.0));
@@ -124,8 +124,8 @@
 /// machines: those that had tasks have been paid for as long already.
 #[test]
 fn an_idle_machine_that_worked_goes_back_soon_after_a_takeover() {
-    let hires = ["vm-1", "vm-2b"].map(|name| hired(name, true)).to_vec();
-    let mut rig = Rig::tuned(Vec::new(), hires, policy::tests::tuning());
+    let rentals = ["vm-1", "vm-2b"].map(|name| rented(name, true)).to_vec();
+    let mut rig = Rig::tuned(Vec::new(), rentals, policy::tests::tuning());
     let (begin, mut seq) = (rig.now, 1);
     while !rig.cloud.iter().any(|(_, c)| matches!(c, CloudCall::Delete(_))) {
         rig.pass(1.0);
@@ -217,7 +217,7 @@
     for (seq, name) in names.iter().take(8).enumerate() {
         rig.beat(name, 6 + seq as u64, EPOCH, vec![]);
         rig.pass(1.0);
-        let asked = rig.cloud.iter().find(|(_, c)| matches!(c, CloudCall::Delete(_) | CloudCall::Hire(_)));
+        let asked = rig.cloud.iter().find(|(_, c)| matches!(c, CloudCall::Delete(_) | CloudCall::Rent(_)));
         assert_eq!(asked, None, "with {} of 20 heard", seq + 1);
     }
     // Once most are heard, the rest are believed to be gone.
@@ -281,7 +281,7 @@
     }
     rig.commits.clear();
     rig.pass(1.1);
-    let rented = rig.commits.iter().flat_map(|(_, t)| &t.changes).filter(|c| c.key().starts_with(HIRES));
+    let rented = rig.commits.iter().flat_map(|(_, t)| &t.changes).filter(|c| c.key().starts_with(RENTALS));
     assert_eq!(rented.count() as f64, rig.config.settings.cluster.cloud.rps);
 }
 
@@ -333,8 +333,8 @@
 
 /// A service with one replica on each of two machines, one of which would do.
 fn spread_over_two(images: [&str; 2]) -> (Rig, [(TaskId, u64); 2]) {
-    let hires = ["vm-1", "vm-3"].map(|name| hired(name, true)).into();
-    let mut rig = Rig::new(Vec::new(), hires);
+    let rentals = ["vm-1", "vm-3"].map(|name| rented(name, true)).into();
+    let mut rig = Rig::new(Vec::new(), rentals);
     for name in ["vm-1", "vm-3"] {
         rig.beat(name, 1, EPOCH, vec![]);
     }
--- a/src/coordination/tests/reports.rs
+++ b/src/coordination/tests/reports.rs
@@ -121,15 +121,15 @@
 
 #[test]
 fn a_deaf_machine_gets_few_starts_and_one_lost_answer_costs_nothing() {
-    let hires = ["vm-1", "vm-2b"].map(|name| hired(name, true)).to_vec();
-    let mut rig = Rig::tuned(Vec::new(), hires, policy::tests::tuning());
+    let rentals = ["vm-1", "vm-2b"].map(|name| rented(name, true)).to_vec();
+    let mut rig = Rig::tuned(Vec::new(), rentals, policy::tests::tuning());
     for name in ["vm-1", "vm-2b"] {
         rig.beat(name, 1, EPOCH, vec![]);
     }
     rig.accept(sample("job-9", "blue", 1, 8.0));
     let other = starts(&rig.beat("vm-2b", 4, EPOCH, vec![])).remove(0);
     rig.accept(sample("job-1", "red", 1, 1.0));
-    // One answer is lost: the next start goes out at once, and is heeded.
+    // One answer is lost: the next start goes out at once, and is acknowledged.
     assert_eq!(starts(&rig.beat("vm-1", 5, EPOCH, vec![])).len(), 1);
     rig.pass(7.0);
     rig.beat("vm-2b", 5, EPOCH, vec![listed(&other, TaskState::Running)]);
--- a/src/coordination/tests/sequences.rs
+++ b/src/coordination/tests/sequences.rs
@@ -1,10 +1,10 @@
-//! Random meetings of troubles on a whole cluster, the rules checked from outside;
+//! Random overlapping faults on a whole cluster, the rules checked from outside;
 //! and for each rule, a wrong script that must be caught.
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use super::world::{Question, Trouble, World};
+use super::simulation::{Fault, Question, Simulation};
 use super::*;
 use crate::protocol::cbor::{MapBuilder, encode};
 use crate::transport::codec::Response;
@@ -21,8 +21,8 @@
     std::env::var(variable).ok().and_then(|text| text.parse().ok()).unwrap_or(otherwise)
 }
 
-/// Some dozen troubles within two minutes, in any order and on top of each other.
-fn random_troubles(seed: u64) -> Vec<(f64, Trouble)> {
+/// Some dozen faults within two minutes, in any order and on top of each other.
+fn random_faults(seed: u64) -> Vec<(f64, Fault)> {
     let mut r = SmallRng::seed_from_u64(seed ^ 0x7e57);
     let count = r.random_range(8..20);
     (0..count)
@@ -31,26 +31,26 @@
             let back = [0.1, 0.4, 3.0, 8.0][r.random_range(0..4)];
             let (share, lasts) = (r.random_range(0.1..0.5), r.random_range(2.0..48.0));
             let peers = r.random_bool(0.5);
-            let trouble = match r.random_range(0..18) {
-                0 | 1 => Trouble::Crash { controller: None, back },
-                2 => Trouble::Crash { controller: Some(r.random_range(0..3)), back },
-                3 => Trouble::CrashAll { back: back * r.random_range(1.0..4.0) },
-                4 => Trouble::Outage { lasts },
-                5 => Trouble::Refused { lasts, peers },
-                6 => Trouble::Cut { lasts, peers },
-                7 => Trouble::Deaf { share, lasts },
-                8 => Trouble::Mute { share, lasts },
-                9 => Trouble::Hung { share, lasts },
-                10 => Trouble::Die { share: share / 2.0 },
-                11 => Trouble::CloudDown { lasts },
-                12 => Trouble::LateWrites { share, lasts },
-                13 => Trouble::LateReports { share, lasts },
-                14 => Trouble::CancelNow { count: r.random_range(1..5), hang: lasts / 2.0 },
-                15 => Trouble::CancelAtEnd { share: 0.6, lasts },
-                16 => Trouble::Burst { jobs: r.random_range(5..25) },
-                _ => Trouble::ZoneCut { lasts },
+            let fault = match r.random_range(0..18) {
+                0 | 1 => Fault::Crash { controller: None, back },
+                2 => Fault::Crash { controller: Some(r.random_range(0..3)), back },
+                3 => Fault::CrashAll { back: back * r.random_range(1.0..4.0) },
+                4 => Fault::Outage { lasts },
+                5 => Fault::Refused { lasts, peers },
+                6 => Fault::Cut { lasts, peers },
+                7 => Fault::Deaf { share, lasts },
+                8 => Fault::Mute { share, lasts },
+                9 => Fault::Hung { share, lasts },
+                10 => Fault::Die { share: share / 2.0 },
+                11 => Fault::CloudDown { lasts },
+                12 => Fault::LateWrites { share, lasts },
+                13 => Fault::LateReports { share, lasts },
+                14 => Fault::CancelNow { count: r.random_range(1..5), hang: lasts / 2.0 },
+                15 => Fault::CancelAtEnd { share: 0.6, lasts },
+                16 => Fault::Burst { jobs: r.random_range(5..25) },
+                _ => Fault::ZoneCut { lasts },
             };
-            (at, trouble)
+            (at, fault)
         })
         .collect()
 }
@@ -68,7 +68,7 @@
 /// With this variable set, what the controllers log is printed.
 const LOG: &str = "SHEDTALLY_LOG";
 
-/// Each world has a runtime of its own, so that nothing of it outlives it.
+/// Each simulation has a runtime of its own, so that nothing of it outlives it.
 pub fn in_simulated_time<T>(work: impl Future<Output = T>) -> T {
     let subscriber =
         tracing_subscriber::fmt().with_timer(Clock).with_ansi(false).with_writer(std::io::stderr);
@@ -77,32 +77,32 @@
     runtime.expect("a runtime").block_on(work)
 }
 
-pub fn play(seed: u64, troubles: Vec<(f64, Trouble)>) -> World {
+pub fn play(seed: u64, faults: Vec<(f64, Fault)>) -> Simulation {
     in_simulated_time(async {
-        let mut world = World::new(seed, if seed.is_multiple_of(2) { 5 } else { 3 }, troubles, CALM);
-        world.run(END).await;
+        let mut simulation = Simulation::new(seed, if seed.is_multiple_of(2) { 5 } else { 3 }, faults, CALM);
+        simulation.run(END).await;
         // A backlog is worked off at the pace that the teams' limits leave.
         let mut until = END;
-        while world.unfinished() && until < 2.0 * END {
+        while simulation.unfinished() && until < 2.0 * END {
             until += 20.0;
-            world.run(until).await;
+            simulation.run(until).await;
         }
-        world.check_end();
-        world
+        simulation.check_end();
+        simulation
     })
 }
 
 /// Whatever meets whatever, no rule breaks. A seed that breaks one is printed and
 /// breaks it again.
 #[test]
-fn no_rule_breaks_in_random_meetings_of_troubles() {
+fn no_rule_breaks_in_random_overlapping_faults() {
     let first = number(FIRST, 1);
     let mut broken = Vec::new();
     for seed in first..first + number(SEEDS, 6) {
-        let world = play(seed, random_troubles(seed));
-        assert!(world.starts > 20, "seed {seed}: {} starts", world.starts);
-        if !world.broken.is_empty() {
-            broken.push(format!("seed {seed}: {:#?}\n{:#?}", world.broken, random_troubles(seed)));
+        let simulation = play(seed, random_faults(seed));
+        assert!(simulation.starts > 20, "seed {seed}: {} starts", simulation.starts);
+        if !simulation.broken.is_empty() {
+            broken.push(format!("seed {seed}: {:#?}\n{:#?}", simulation.broken, random_faults(seed)));
         }
     }
     assert!(broken.is_empty(), "{}", broken.join("\n"));
@@ -111,21 +111,21 @@
 // The checker is checked: what a wrong scheduler would do must be caught, each rule
 // by a script that breaks it.
 
-fn caught(rule: &str, script: impl FnOnce(&mut World)) {
+fn caught(rule: &str, script: impl FnOnce(&mut Simulation)) {
     let broken = in_simulated_time(async {
-        let mut world = World::new(1, 3, Vec::new(), 0.0);
-        script(&mut world);
-        world.broken
+        let mut simulation = Simulation::new(1, 3, Vec::new(), 0.0);
+        script(&mut simulation);
+        simulation.broken
     });
     assert!(broken.iter().any(|b| b.starts_with(rule)), "{rule} is not caught: {broken:?}");
 }
 
-fn submitted(world: &mut World, change: impl FnOnce(&mut JobSpec)) -> Instant {
+fn submitted(simulation: &mut Simulation, change: impl FnOnce(&mut JobSpec)) -> Instant {
     let now = Instant::now();
     let mut spec = sample("job-1", "red", 4, 4.0);
     change(&mut spec);
-    world.submit(now, spec, 10.0, None);
-    world.note_answer(now, "job-1", now, 201, Some("queued"), false);
+    simulation.submit(now, spec, 10.0, None);
+    simulation.note_answer(now, "job-1", now, 201, Some("queued"), false);
     now
 }
 
@@ -133,72 +133,72 @@
 
 #[test]
 fn wrong_starts_are_caught() {
-    caught("ran_twice", |world| {
-        submitted(world, |_| {});
-        world.place_wrongly("job-1", 0, "z1", false);
-        world.place_wrongly("job-1", 0, "z2", false);
+    caught("ran_twice", |simulation| {
+        submitted(simulation, |_| {});
+        simulation.place_wrongly("job-1", 0, "z1", false);
+        simulation.place_wrongly("job-1", 0, "z2", false);
     });
-    caught("quota", |world| {
-        submitted(world, |spec| spec.tasks = 5);
-        (0..5).for_each(|index| drop(world.place_wrongly("job-1", index, "z1", false)));
+    caught("quota", |simulation| {
+        submitted(simulation, |spec| spec.tasks = 5);
+        (0..5).for_each(|index| drop(simulation.place_wrongly("job-1", index, "z1", false)));
     });
-    caught("wrong_place", |world| {
-        submitted(world, |spec| spec.zone = Some("z2".into()));
-        world.place_wrongly("job-1", 0, "z1", false);
+    caught("wrong_place", |simulation| {
+        submitted(simulation, |spec| spec.zone = Some("z2".into()));
+        simulation.place_wrongly("job-1", 0, "z1", false);
     });
-    caught("wrong_place", |world| {
-        submitted(world, |spec| spec.spot = false);
-        world.place_wrongly("job-1", 0, "z1", true);
+    caught("wrong_place", |simulation| {
+        submitted(simulation, |spec| spec.spot = false);
+        simulation.place_wrongly("job-1", 0, "z1", true);
     });
-    caught("wrong_place", |world| {
-        submitted(world, |spec| spec.one_zone = true);
-        world.place_wrongly("job-1", 0, "z1", false);
-        world.place_wrongly("job-1", 1, "z2", false);
+    caught("wrong_place", |simulation| {
+        submitted(simulation, |spec| spec.one_zone = true);
+        simulation.place_wrongly("job-1", 0, "z1", false);
+        simulation.place_wrongly("job-1", 1, "z2", false);
     });
-    caught("wrong_place", |world| {
-        submitted(world, |spec| spec.spread = true);
-        (0..3).for_each(|index| drop(world.place_wrongly("job-1", index, "z1", false)));
+    caught("wrong_place", |simulation| {
+        submitted(simulation, |spec| spec.spread = true);
+        (0..3).for_each(|index| drop(simulation.place_wrongly("job-1", index, "z1", false)));
     });
-    caught("unknown_job", |world| drop(world.place_wrongly("job-7", 0, "z1", false)));
+    caught("unknown_job", |simulation| drop(simulation.place_wrongly("job-7", 0, "z1", false)));
 }
 
 #[test]
 fn cancelled_work_that_goes_on_is_caught() {
-    let cancelled = |world: &mut World| {
+    let cancelled = |simulation: &mut Simulation| {
         let now = Instant::now();
-        world.submit(now, sample("job-1", "red", 1, 1.0), 10.0, Some(now));
-        world.note_answer(now, "job-1", now, 201, Some("queued"), false);
-        let name = world.place_wrongly("job-1", 0, "z1", false);
-        world.note_answer(now, "job-1", now, 200, Some("cancelled"), true);
+        simulation.submit(now, sample("job-1", "red", 1, 1.0), 10.0, Some(now));
+        simulation.note_answer(now, "job-1", now, 201, Some("queued"), false);
+        let name = simulation.place_wrongly("job-1", 0, "z1", false);
+        simulation.note_answer(now, "job-1", now, 200, Some("cancelled"), true);
         (now, name)
     };
-    caught("ran_cancelled", |world| {
-        let (now, _) = cancelled(world);
-        world.check_cancelled(now + Duration::from_secs(40));
-        assert!(world.broken.is_empty(), "there is time left");
-        world.check_cancelled(now + Duration::from_secs(46));
+    caught("ran_cancelled", |simulation| {
+        let (now, _) = cancelled(simulation);
+        simulation.check_cancelled(now + Duration::from_secs(40));
+        assert!(simulation.broken.is_empty(), "there is time left");
+        simulation.check_cancelled(now + Duration::from_secs(46));
     });
-    caught("started_cancelled", |world| {
-        let (now, name) = cancelled(world);
+    caught("started_cancelled", |simulation| {
+        let (now, name) = cancelled(simulation);
         let start = Order::Start { task: TaskId { job: id("job-1"), index: 0 }, attempt: 9 };
         let body = crate::protocol::workers::report_answer(1, &[start]);
-        world.carry_out(now + SOON, &name, &body);
-        assert!(world.broken.is_empty(), "it may have been on its way");
-        world.carry_out(now + SOON * 5, &name, &body);
-        assert!(world.broken.is_empty(), "the same attempt has no effect");
+        simulation.carry_out(now + SOON, &name, &body);
+        assert!(simulation.broken.is_empty(), "it may have been on its way");
+        simulation.carry_out(now + SOON * 5, &name, &body);
+        assert!(simulation.broken.is_empty(), "the same attempt has no effect");
         let start = Order::Start { task: TaskId { job: id("job-1"), index: 0 }, attempt: 10 };
-        world.carry_out(now + SOON * 5, &name, &crate::protocol::workers::report_answer(1, &[start]));
+        simulation.carry_out(now + SOON * 5, &name, &crate::protocol::workers::report_answer(1, &[start]));
     });
 }
 
 #[test]
 fn untrue_answers_are_caught() {
     let told = |rule: &str, first: &'static str, status: u16, standing: Option<&'static str>| {
-        caught(rule, |world| {
-            let now = submitted(world, |_| {});
-            world.note_answer(now, "job-1", now, 200, Some(first), false);
-            world.broken.clear();
-            world.note_answer(now + SOON * 2, "job-1", now + SOON, status, standing, false);
+        caught(rule, |simulation| {
+            let now = submitted(simulation, |_| {});
+            simulation.note_answer(now, "job-1", now, 200, Some(first), false);
+            simulation.broken.clear();
+            simulation.note_answer(now + SOON * 2, "job-1", now + SOON, status, standing, false);
         });
     };
     told("forgotten", "queued", 404, None);
@@ -210,7 +210,7 @@
     let odd = |question, status| {
         let body = encode(&MapBuilder::new().set("standing", "queued").build());
         let answer = Response { status, body, retry_after_s: None, close: false };
-        move |world: &mut World| world.answered("odd", question, Instant::now(), Some(answer))
+        move |simulation: &mut Simulation| simulation.answered("odd", question, Instant::now(), Some(answer))
     };
     caught("invented", odd(Question::Unknown, 200));
     caught("accepted_odd", odd(Question::Odd(400), 201));
@@ -219,22 +219,22 @@
 
 #[test]
 fn what_is_left_behind_is_caught() {
-    caught("forgotten", |world| {
-        let now = submitted(world, |_| {});
-        world.check_waiting(now + Duration::from_secs(70));
-        assert!(world.broken.is_empty());
-        world.check_waiting(now + Duration::from_secs(80));
+    caught("forgotten", |simulation| {
+        let now = submitted(simulation, |_| {});
+        simulation.check_waiting(now + Duration::from_secs(70));
+        assert!(simulation.broken.is_empty());
+        simulation.check_waiting(now + Duration::from_secs(80));
     });
-    caught("neglected", |world| {
-        let now = submitted(world, |_| {});
-        world.idle_machine("z1");
-        world.check_waiting(now + SOON);
-        world.check_waiting(now + SOON * 74);
-        assert!(world.broken.is_empty());
-        world.check_waiting(now + SOON * 92);
+    caught("neglected", |simulation| {
+        let now = submitted(simulation, |_| {});
+        simulation.idle_machine("z1");
+        simulation.check_waiting(now + SOON);
+        simulation.check_waiting(now + SOON * 74);
+        assert!(simulation.broken.is_empty());
+        simulation.check_waiting(now + SOON * 92);
     });
-    caught("unfinished", |world| {
-        submitted(world, |_| {});
-        world.check_end();
+    caught("unfinished", |simulation| {
+        submitted(simulation, |_| {});
+        simulation.check_end();
     });
 }
--- a/src/coordination/tests/world.rs
+++ b/src/coordination/tests/simulation.rs
@@ -19,7 +19,7 @@
 use super::super::cloud;
 use super::super::election::{self, Election};
 use super::super::leader::Config;
-use super::super::node::{Front, Node};
+use super::super::node::{Node, NodeHandle};
 use super::{placing, sample};
 use crate::maps::HashMap;
 use crate::policy;
@@ -45,7 +45,7 @@
 /// What goes wrong; where no controller is named, it is the one that leads by the
 /// state service's own word.
 #[derive(Debug, Clone, Copy)]
-pub enum Trouble {
+pub enum Fault {
     Crash {
         controller: Option<usize>,
         back: f64,
@@ -112,7 +112,7 @@
 
 struct Controller {
     incarnation: u16,
-    front: Option<Front>,
+    handle: Option<NodeHandle>,
     tasks: Vec<AbortHandle>,
     back_at: Option<Instant>,
     refused_until: Instant,
@@ -205,20 +205,20 @@
     reply: oneshot::Sender<Result<Response, ClientError>>,
 }
 
-pub struct World {
+pub struct Simulation {
     rng: SmallRng,
     begin: Instant,
     settings: Settings,
     asks: mpsc::UnboundedReceiver<Ask>,
     events: JoinSet<Event>,
-    state: stand_in::World,
+    state: stand_in::StoreState,
     renewed: BTreeMap<u64, Instant>,
     outage_until: Instant,
     late_writes: (f64, Instant),
     late: Vec<(Instant, Request)>,
     watches: Vec<Watch>,
     cloud_down_until: Instant,
-    hires: HashMap<String, Vec<String>>,
+    rentals: HashMap<String, Vec<String>>,
     next_machine: usize,
     controllers: Vec<Controller>,
     machines: BTreeMap<String, Worker>,
@@ -231,7 +231,7 @@
     arrivals_until: Instant,
     odd_from: Instant,
     zone_cut_until: Instant,
-    troubles: Vec<(f64, Trouble)>,
+    faults: Vec<(f64, Fault)>,
     pub calm_at: Instant,
     pub broken: Vec<String>,
     pub starts: usize,
@@ -261,8 +261,8 @@
     });
 }
 
-impl World {
-    pub fn new(seed: u64, controllers: usize, mut troubles: Vec<(f64, Trouble)>, calm: f64) -> Self {
+impl Simulation {
+    pub fn new(seed: u64, controllers: usize, mut faults: Vec<(f64, Fault)>, calm: f64) -> Self {
         let asks = scripted::install();
         let begin = Instant::now();
         let mut settings = settings::tests::sample();
@@ -275,30 +275,30 @@
             // Answers to reports are held for prompt starts.
             settings.cluster.objectives.push(placing::prompt_aim(&settings.cluster.workers));
         }
-        troubles.sort_by(|a, b| a.0.total_cmp(&b.0));
+        faults.sort_by(|a, b| a.0.total_cmp(&b.0));
         let controller = || Controller {
             incarnation: 0,
-            front: None,
+            handle: None,
             tasks: Vec::new(),
             back_at: Some(begin),
             refused_until: begin,
             cut_until: begin,
             alone_until: begin,
         };
-        World {
+        Simulation {
             rng: SmallRng::seed_from_u64(seed),
             begin,
             settings,
             asks,
             events: JoinSet::new(),
-            state: stand_in::World::default(),
+            state: stand_in::StoreState::default(),
             renewed: BTreeMap::new(),
             outage_until: begin,
             late_writes: (0.0, begin),
             late: Vec::new(),
             watches: Vec::new(),
             cloud_down_until: begin,
-            hires: HashMap::default(),
+            rentals: HashMap::default(),
             next_machine: 0,
             controllers: (0..controllers).map(|_| controller()).collect(),
             machines: BTreeMap::new(),
@@ -311,7 +311,7 @@
             arrivals_until: begin + seconds(calm),
             odd_from: begin + seconds(20.0),
             zone_cut_until: begin,
-            troubles,
+            faults,
             calm_at: begin + seconds(calm),
             broken: Vec::new(),
             starts: 0,
@@ -381,16 +381,16 @@
         let address = settings.peer_listen.to_string();
         let running = tokio::spawn(election::run(election, store.clone(), address, roles_in, given_up));
         let config = Arc::new(Config { settings, tuning });
-        let (node, inputs, front) = Node::new(config, store, cloud, leads, term, abandoned, roles);
+        let (node, inputs, handle) = Node::new(config, store, cloud, leads, term, abandoned, roles);
         let acting = tokio::spawn(node.run(inputs));
         c.tasks = vec![running.abort_handle(), acting.abort_handle()];
-        c.front = Some(front);
+        c.handle = Some(handle);
     }
 
     fn crash(&mut self, at: usize, back: f64) {
         let c = &mut self.controllers[at];
         c.tasks.drain(..).for_each(|task| task.abort());
-        c.front = None;
+        c.handle = None;
         c.back_at = Some(Instant::now() + seconds(back));
     }
 
@@ -422,9 +422,9 @@
                 if !alive || apart(&self.controllers[from]) || apart(&self.controllers[other]) {
                     return;
                 }
-                let Some(front) = self.controllers[other].front.clone() else { return };
+                let Some(handle) = self.controllers[other].handle.clone() else { return };
                 self.events.spawn(async move {
-                    let answered = PeerHandler::handle(&front, call, relay).await;
+                    let answered = PeerHandler::handle(&handle, call, relay).await;
                     let _ = reply.send(answered);
                     Event::Nothing
                 });
@@ -549,7 +549,7 @@
         }
         for watch in std::mem::take(&mut self.watches) {
             let c = &self.controllers[watch.controller];
-            if c.incarnation != watch.incarnation || c.front.is_none() {
+            if c.incarnation != watch.incarnation || c.handle.is_none() {
                 continue;
             }
             // Of one that is refused, the watches that are open go on waiting.
@@ -568,7 +568,7 @@
 
     fn ask_cloud(&mut self, now: Instant, call: &Call) -> Response {
         if now < self.cloud_down_until {
-            return answer(503, &MapBuilder::new().set("error", "trouble").build());
+            return answer(503, &MapBuilder::new().set("error", "fault").build());
         }
         let body = decode(&call.body).unwrap_or(Value::Null);
         let path = call.target.split('?').next().unwrap_or_default();
@@ -584,7 +584,7 @@
             "/machines" if call.method == "POST" => {
                 let f = Fields::of(&body).expect("a map");
                 let name = f.text("hire").expect("a name").to_owned();
-                if !self.hires.contains_key(&name) {
+                if !self.rentals.contains_key(&name) {
                     let zone = if f.text("hall").expect("a zone") == "z2" { "z2" } else { "z1" };
                     let spot = f.bool("loaners").expect("a kind");
                     let up = self.machines.values().filter(|m| m.gone_at.is_none()).count();
@@ -594,9 +594,9 @@
                         return answer(503, &MapBuilder::new().set("error", "no capacity").build());
                     }
                     let names = (0..count).map(|_| self.rent(now, zone, spot)).collect();
-                    self.hires.insert(name.clone(), names);
+                    self.rentals.insert(name.clone(), names);
                 }
-                let names = texts(self.hires[&name].iter().map(String::as_str));
+                let names = texts(self.rentals[&name].iter().map(String::as_str));
                 answer(200, &MapBuilder::new().set("benches", names).build())
             }
             _ => {
@@ -732,7 +732,7 @@
         let body = report_of(name, m);
         let target = m.target;
         let apart = now < self.zone_cut_until && (m.zone == "z2") != (target == 1);
-        let front = self.controllers[target].front.clone().filter(|_| now >= m.mute_until && !apart);
+        let handle = self.controllers[target].handle.clone().filter(|_| now >= m.mute_until && !apart);
         let (machine, session, sent) = (name.to_owned(), m.session, now);
         m.in_flight = true;
         let (share, until) = self.late_reports;
@@ -742,19 +742,19 @@
             let copy = body.clone();
             let after = seconds(self.rng.random_range(2.0..30.0));
             let other = self.rng.random_range(0..self.controllers.len());
-            if let Some(front) = self.controllers[other].front.clone() {
+            if let Some(handle) = self.controllers[other].handle.clone() {
                 self.events.spawn(async move {
                     tokio::time::sleep(after).await;
-                    Handler::handle(&front, post("/agent/beat", copy)).await;
+                    Handler::handle(&handle, post("/agent/beat", copy)).await;
                     Event::Nothing
                 });
             }
         }
         self.events.spawn(async move {
             tokio::time::sleep(Duration::from_millis(2)).await;
-            let answer = match front {
-                Some(front) => {
-                    let asked = Handler::handle(&front, post("/agent/beat", body));
+            let answer = match handle {
+                Some(handle) => {
+                    let asked = Handler::handle(&handle, post("/agent/beat", body));
                     tokio::time::timeout(seconds(4.0), asked).await.ok()
                 }
                 None => None,
@@ -1040,14 +1040,14 @@
     fn question(&mut self, now: Instant, id: &str, question: Question, request: Request) {
         let cut = now < self.zone_cut_until;
         let reached = self.controllers.iter().enumerate().filter(|(at, _)| !(cut && *at == 1));
-        let up: Vec<Front> = reached.filter_map(|(_, c)| c.front.clone()).collect();
-        let front = (!up.is_empty()).then(|| up[self.rng.random_range(0..up.len())].clone());
+        let up: Vec<NodeHandle> = reached.filter_map(|(_, c)| c.handle.clone()).collect();
+        let handle = (!up.is_empty()).then(|| up[self.rng.random_range(0..up.len())].clone());
         let patience = seconds(if question == Question::Poll { 2.0 } else { 5.0 });
         let job = id.to_owned();
         self.events.spawn(async move {
             tokio::time::sleep(Duration::from_millis(2)).await;
-            let answer = match front {
-                Some(front) => tokio::time::timeout(patience, Handler::handle(&front, request)).await.ok(),
+            let answer = match handle {
+                Some(handle) => tokio::time::timeout(patience, Handler::handle(&handle, request)).await.ok(),
                 None => None,
             };
             Event::Answered { job, question, sent: now, answer }
@@ -1174,9 +1174,9 @@
 
     fn step(&mut self, now: Instant) {
         self.step_state(now);
-        while self.troubles.first().is_some_and(|(at, _)| now >= self.begin + seconds(*at)) {
-            let (_, trouble) = self.troubles.remove(0);
-            self.begin_trouble(now, trouble);
+        while self.faults.first().is_some_and(|(at, _)| now >= self.begin + seconds(*at)) {
+            let (_, fault) = self.faults.remove(0);
+            self.begin_trouble(now, fault);
         }
         for at in 0..self.controllers.len() {
             if self.controllers[at].back_at.is_some_and(|back| now >= back) {
@@ -1271,50 +1271,50 @@
         names.into_iter().filter(|_| self.rng.random_bool(share)).collect()
     }
 
-    fn begin_trouble(&mut self, now: Instant, trouble: Trouble) {
+    fn begin_trouble(&mut self, now: Instant, fault: Fault) {
         let lead = self.leader().unwrap_or(0);
         let until = |lasts: f64| now + seconds(lasts);
-        match trouble {
-            Trouble::Crash { controller, back } => self.crash(controller.unwrap_or(lead), back),
-            Trouble::CrashAll { back } => (0..self.controllers.len()).for_each(|at| self.crash(at, back)),
-            Trouble::Outage { lasts } => self.outage_until = until(lasts),
-            Trouble::Refused { lasts, peers } => {
+        match fault {
+            Fault::Crash { controller, back } => self.crash(controller.unwrap_or(lead), back),
+            Fault::CrashAll { back } => (0..self.controllers.len()).for_each(|at| self.crash(at, back)),
+            Fault::Outage { lasts } => self.outage_until = until(lasts),
+            Fault::Refused { lasts, peers } => {
                 self.controllers[lead].refused_until = until(lasts);
                 if peers {
                     self.controllers[lead].alone_until = until(lasts);
                 }
             }
-            Trouble::Cut { lasts, peers } => {
+            Fault::Cut { lasts, peers } => {
                 self.controllers[lead].cut_until = until(lasts);
                 if peers {
                     self.controllers[lead].alone_until = until(lasts);
                 }
             }
-            Trouble::Deaf { share, lasts } => {
+            Fault::Deaf { share, lasts } => {
                 for name in self.some_machines(now, share) {
                     self.machines.get_mut(&name).expect("there").deaf_until = until(lasts);
                 }
             }
-            Trouble::Mute { share, lasts } => {
+            Fault::Mute { share, lasts } => {
                 for name in self.some_machines(now, share) {
                     self.machines.get_mut(&name).expect("there").mute_until = until(lasts);
                 }
             }
-            Trouble::Hung { share, lasts } => {
+            Fault::Hung { share, lasts } => {
                 for name in self.some_machines(now, share) {
                     self.machines.get_mut(&name).expect("there").hung_until = until(lasts);
                 }
             }
-            Trouble::Die { share } => {
+            Fault::Die { share } => {
                 for name in self.some_machines(now, share) {
                     self.remove(now, &name);
                 }
             }
-            Trouble::CloudDown { lasts } => self.cloud_down_until = until(lasts),
-            Trouble::LateWrites { share, lasts } => self.late_writes = (share, until(lasts)),
-            Trouble::LateReports { share, lasts } => self.late_reports = (share, until(lasts)),
-            Trouble::CancelAtEnd { share, lasts } => self.cancel_at_end = (share, until(lasts)),
-            Trouble::CancelNow { count, hang } => {
+            Fault::CloudDown { lasts } => self.cloud_down_until = until(lasts),
+            Fault::LateWrites { share, lasts } => self.late_writes = (share, until(lasts)),
+            Fault::LateReports { share, lasts } => self.late_reports = (share, until(lasts)),
+            Fault::CancelAtEnd { share, lasts } => self.cancel_at_end = (share, until(lasts)),
+            Fault::CancelNow { count, hang } => {
                 let running: Vec<(String, String)> =
                     self.on_machines().map(|(name, _, key)| (name.to_owned(), key.0.clone())).collect();
                 let jobs: BTreeSet<String> = running.iter().map(|(_, job)| job.clone()).take(count).collect();
@@ -1326,8 +1326,8 @@
                     job.next = now;
                 }
             }
-            Trouble::Burst { jobs } => (0..jobs).for_each(|_| self.arrive(now)),
-            Trouble::ZoneCut { lasts } => {
+            Fault::Burst { jobs } => (0..jobs).for_each(|_| self.arrive(now)),
+            Fault::ZoneCut { lasts } => {
                 self.zone_cut_until = until(lasts);
                 let c = &mut self.controllers[1];
                 (c.cut_until, c.alone_until) = (until(lasts), until(lasts));
--- a/src/coordination/tests/takeover.rs
+++ b/src/coordination/tests/takeover.rs
@@ -5,7 +5,8 @@
 #[test]
 fn after_a_takeover_old_jobs_wait_for_a_silent_machine_and_new_ones_do_not() {
     let old = loaded_job(sample("job-1", "red", 2, 1.0));
-    let mut rig = Rig::new(vec![old], vec![hired("vm-1", true), hired("vm-2", true), hired("vm-3", false)]);
+    let mut rig =
+        Rig::new(vec![old], vec![rented("vm-1", true), rented("vm-2", true), rented("vm-3", false)]);
     // The first report does not carry the epoch: nothing in it is trusted.
     assert_eq!(rig.beat("vm-1", 5, EPOCH - 1, vec![]), vec![]);
     assert_eq!(rig.beat("vm-1", 6, EPOCH, vec![]), vec![], "vm-2 may hold both tasks");
@@ -13,7 +14,7 @@
     let orders = rig.beat("vm-1", 7, EPOCH, vec![]);
     assert_eq!(starts(&orders).iter().map(|s| s.0.job.clone()).collect::<Vec<_>>(), [id("job-2")]);
     // vm-3 never had a start, so only vm-2 is waited for: its whole lease.
-    // An earlier leader may have answered it in its grace, too.
+    // An earlier leader may have answered it in its lapse window, too.
     let proof = rig.config.takeover_proof().as_secs_f64();
     let running = listed(&starts(&orders)[0], TaskState::Running);
     let mut seq = 8;
@@ -29,7 +30,7 @@
 #[test]
 fn a_new_leader_adopts_what_it_finds_and_starts_only_the_rest() {
     let old = loaded_job(sample("job-1", "red", 3, 1.0));
-    let mut rig = Rig::new(vec![old], vec![hired("vm-1", true)]);
+    let mut rig = Rig::new(vec![old], vec![rented("vm-1", true)]);
     let task = |index| TaskId { job: id("job-1"), index };
     let found = vec![
         TaskReport { task: task(0), attempt: 7, state: TaskState::Running },
@@ -46,7 +47,8 @@
 
 #[test]
 fn unheard_machines_count_against_limits_at_the_worst() {
-    let mut rig = Rig::new(Vec::new(), vec![hired("vm-1", true), hired("vm-2", true), hired("vm-3", true)]);
+    let mut rig =
+        Rig::new(Vec::new(), vec![rented("vm-1", true), rented("vm-2", true), rented("vm-3", true)]);
     rig.beat("vm-1", 1, EPOCH, vec![]);
     rig.accept(sample("job-1", "red", 1, 1.0));
     // 16 CPUs on the two unheard machines may all be the team's.
@@ -59,14 +61,14 @@
 #[test]
 fn machines_entered_late_count_against_limits_at_once() {
     let mut rig = Rig::new(Vec::new(), Vec::new());
-    let hires = ["vm-1", "vm-2", "vm-3"].map(|name| hired(name, true)).to_vec();
+    let rentals = ["vm-1", "vm-2", "vm-3"].map(|name| rented(name, true)).to_vec();
     let jobs = vec![LoadedJob {
         record: JobRecord::new(sample("job-1", "red", 1, 1.0), MS),
         version: 5,
         live_version: 5,
         block_versions: Vec::new(),
     }];
-    let loaded = Loaded { jobs, hires, catalog: None, experience: None };
+    let loaded = Loaded { jobs, rentals, catalog: None, experience: None };
     rig.leader = Leader::new(rig.config.clone(), EPOCH, rig.now, MS, loaded);
     rig.leader.extend(rig.now, rig.now + Duration::from_secs(3600));
     rig.cloud.clear();
@@ -84,7 +86,7 @@
 #[test]
 fn a_machine_deaf_through_a_takeover_holds_old_jobs_back_only_for_its_proof() {
     let old = loaded_job(sample("job-1", "red", 1, 1.0));
-    let mut rig = Rig::new(vec![old], vec![hired("vm-1", true), hired("vm-2b", true)]);
+    let mut rig = Rig::new(vec![old], vec![rented("vm-1", true), rented("vm-2b", true)]);
     rig.beat("vm-2b", 1, EPOCH, vec![]);
     // vm-1 reports on and on, never showing the token of any answer.
     let report = rig.config.settings.cluster.workers.report_s;
@@ -107,7 +109,7 @@
 #[test]
 fn late_copies_after_a_takeover_are_no_more_than_hints() {
     let old = loaded_job(sample("job-1", "red", 2, 1.0));
-    let mut rig = Rig::new(vec![old], vec![hired("vm-1", true), hired("vm-2b", true)]);
+    let mut rig = Rig::new(vec![old], vec![rented("vm-1", true), rented("vm-2b", true)]);
     rig.beat("vm-2b", 1, EPOCH, vec![]);
     let task = TaskId { job: id("job-1"), index: 0 };
     let copied = vec![TaskReport { task, attempt: 7, state: TaskState::Running }];
@@ -172,7 +174,7 @@
     let mut tied = loaded_job(sample("job-2", "blue", 2, 1.0));
     tied.record.spec.one_zone = true;
     tied.record.begun = 1;
-    let mut rig = Rig::new(vec![part, tied], vec![hired("vm-1", true), hired("vm-2b", true)]);
+    let mut rig = Rig::new(vec![part, tied], vec![rented("vm-1", true), rented("vm-2b", true)]);
     rig.beat("vm-1", 5, EPOCH, vec![]);
     assert_eq!(starts(&rig.beat("vm-1", 6, EPOCH, vec![])), vec![], "not begun by the record");
     rig.commit_all();
@@ -187,14 +189,14 @@
 #[test]
 fn without_a_grace_to_cover_old_jobs_wait_for_a_lease_only() {
     let old = loaded_job(sample("job-1", "red", 1, 1.0));
-    let mut rig = Rig::new(vec![old], vec![hired("vm-1", true), hired("vm-2", true)]);
+    let mut rig = Rig::new(vec![old], vec![rented("vm-1", true), rented("vm-2", true)]);
     rig.beat("vm-1", 5, EPOCH, vec![]);
-    assert!(rig.leader.awaits_graces());
+    assert!(rig.leader.awaits_lapse_windows());
     rig.pass(1.0);
     let (over, mut seq) = (rig.now, 5);
-    rig.leader.graces_are_over(over);
-    rig.leader.graces_are_over(over + Duration::from_secs(9));
-    assert!(!rig.leader.awaits_graces(), "the first proof is enough");
+    rig.leader.lapse_windows_are_over(over);
+    rig.leader.lapse_windows_are_over(over + Duration::from_secs(9));
+    assert!(!rig.leader.awaits_lapse_windows(), "the first proof is enough");
     while rig.now + Duration::from_secs(2) < over + rig.config.lease_proof() {
         rig.pass(2.0);
         seq += 1;
@@ -206,11 +208,11 @@
 }
 
 /// An answer sent is no proof that it was received: the worker may have gone
-/// back to the former leader, which answers on in its grace.
+/// back to the former leader, which answers on in its lapse window.
 #[test]
 fn an_answer_that_was_never_heeded_shortens_no_proof() {
     let old = loaded_job(sample("job-1", "red", 1, 1.0));
-    let mut rig = Rig::new(vec![old], vec![hired("vm-1", true), hired("vm-2", true)]);
+    let mut rig = Rig::new(vec![old], vec![rented("vm-1", true), rented("vm-2", true)]);
     rig.beat("vm-2", 5, EPOCH, vec![]);
     assert_eq!(
         rig.report("vm-1", 1, 5, EPOCH - 1, vec![]),
@@ -232,7 +234,7 @@
 fn what_is_found_twice_or_done_is_stopped() {
     let mut old = loaded_job(sample("job-1", "red", 2, 1.0));
     old.record.done.insert(0);
-    let mut rig = Rig::new(vec![old], vec![hired("vm-1", true), hired("vm-2b", true)]);
+    let mut rig = Rig::new(vec![old], vec![rented("vm-1", true), rented("vm-2b", true)]);
     let running = |index| TaskReport {
         task: TaskId { job: id("job-1"), index },
         attempt: 7,
--- a/src/protocol/cloud.rs
+++ b/src/protocol/cloud.rs
@@ -6,7 +6,7 @@
 use super::workers::MachineId;
 
 /// Most machines in one rental request.
-pub const MAX_HIRE: u32 = 50;
+pub const MAX_RENTAL: u32 = 50;
 /// Most names in one deletion.
 pub const MAX_DELETE: usize = 100;
 /// Most machines on one page of the list.
@@ -71,7 +71,7 @@
 
 /// A request to rent machines. Its name is never used twice.
 #[derive(Debug, Clone, PartialEq)]
-pub struct HireRequest {
+pub struct RentalRequest {
     pub name: String,
     pub machine_type: String,
     pub zone: String,
@@ -79,7 +79,7 @@
     pub count: u32,
 }
 
-impl HireRequest {
+impl RentalRequest {
     pub fn encode(&self) -> Value {
         MapBuilder::new()
             .set("hire", self.name.as_str())
@@ -95,7 +95,7 @@
     value.as_text().and_then(MachineId::parse).ok_or(Malformed::Invalid("benches"))
 }
 
-pub fn decode_hired(value: &Value) -> Result<Vec<MachineId>, Malformed> {
+pub fn decode_rented(value: &Value) -> Result<Vec<MachineId>, Malformed> {
     Fields::of(value)?.list("benches")?.iter().map(machine_id).collect()
 }
 
--- a/src/storage/records.rs
+++ b/src/storage/records.rs
@@ -17,7 +17,7 @@
 
 use super::done_set::{BadSet, DoneSet};
 use crate::protocol::cbor::{Fields, Malformed, MapBuilder, texts};
-use crate::protocol::cloud::HireRequest;
+use crate::protocol::cloud::RentalRequest;
 use crate::protocol::jobs::{Form, JobId, JobSpec, JobStatus, Standing};
 use crate::protocol::workers::MachineId;
 
@@ -27,7 +27,7 @@
 pub const EXPERIENCE: &str = "experience";
 pub const LIVE: &str = "live/";
 pub const OVER: &str = "over/";
-pub const HIRES: &str = "hire/";
+pub const RENTALS: &str = "hire/";
 pub const RECORDS: &str = "rec/";
 
 pub fn record_key(job: &JobId) -> String {
@@ -46,8 +46,8 @@
     format!("{OVER}{job}")
 }
 
-pub fn hire_key(name: &str) -> String {
-    format!("{HIRES}{name}")
+pub fn rental_key(name: &str) -> String {
+    format!("{RENTALS}{name}")
 }
 
 #[derive(Debug, Error)]
@@ -177,8 +177,8 @@
 
 /// A rental request. `machines` is `None` until the cloud has answered.
 #[derive(Debug, Clone, PartialEq)]
-pub struct HireRecord {
-    pub request: HireRequest,
+pub struct RentalRecord {
+    pub request: RentalRequest,
     pub machines: Option<Vec<MachineId>>,
     /// Machines to which starts may have been sent. A machine is entered here
     /// before its first start, so a new leader knows that no other can hold
@@ -186,7 +186,7 @@
     pub used: BTreeSet<MachineId>,
 }
 
-impl HireRecord {
+impl RentalRecord {
     pub fn encode(&self) -> Value {
         let machines = self.machines.as_ref().map(|m| texts(m.iter().map(MachineId::as_str)));
         MapBuilder::new()
@@ -202,8 +202,8 @@
         let parse = |name: &String| MachineId::parse(name).ok_or(Malformed::Invalid("machines"));
         let machines = f.opt_texts("machines")?.map(|names| names.iter().map(parse).collect());
         let used = f.opt_texts("used")?.unwrap_or_default();
-        Ok(HireRecord {
-            request: HireRequest {
+        Ok(RentalRecord {
+            request: RentalRequest {
                 name: r.text("hire")?.to_owned(),
                 machine_type: r.text("build")?.to_owned(),
                 zone: r.text("hall")?.to_owned(),
--- a/src/storage/records/tests.rs
+++ b/src/storage/records/tests.rs
@@ -41,11 +41,16 @@
 }
 
 #[test]
-fn an_unanswered_hire_is_told_from_an_empty_one() {
-    let request =
-        HireRequest { name: "7-1".into(), machine_type: "t".into(), zone: "z".into(), spot: true, count: 2 };
+fn an_unanswered_rental_is_told_from_an_empty_one() {
+    let request = RentalRequest {
+        name: "7-1".into(),
+        machine_type: "t".into(),
+        zone: "z".into(),
+        spot: true,
+        count: 2,
+    };
     for machines in [None, Some(vec![]), MachineId::parse("vm-1").map(|m| vec![m])] {
-        let record = HireRecord { request: request.clone(), machines, used: BTreeSet::new() };
-        assert_eq!(HireRecord::decode(&record.encode()), Ok(record));
+        let record = RentalRecord { request: request.clone(), machines, used: BTreeSet::new() };
+        assert_eq!(RentalRecord::decode(&record.encode()), Ok(record));
     }
 }
--- a/src/storage/stand_in.rs
+++ b/src/storage/stand_in.rs
@@ -36,7 +36,7 @@
 /// The data and what may be done to it; a test on a clock of its own drives it
 /// directly.
 #[derive(Default)]
-pub struct World {
+pub struct StoreState {
     entries: BTreeMap<String, Stored>,
     revision: u64,
     /// Leases given out, with their life in milliseconds.
@@ -77,22 +77,22 @@
 impl StandIn {
     pub async fn start(script: &[Script]) -> Self {
         let (asks, mut asked) = mpsc::channel(16);
-        let mut world = World { script: script.iter().copied().collect(), ..World::default() };
+        let mut state = StoreState { script: script.iter().copied().collect(), ..StoreState::default() };
         tokio::spawn(async move {
             while let Some(ask) = asked.recv().await {
                 match ask {
                     Ask::Http(request, reply) => {
-                        if let Some((status, body)) = world.answer(&request) {
+                        if let Some((status, body)) = state.answer(&request) {
                             let response =
                                 Response { status, body: encode(&body), retry_after_s: None, close: false };
                             let _ = reply.send(response);
                         }
                     }
                     Ask::Seed(key, value, version) => {
-                        world.revision = world.revision.max(version);
-                        world.entries.insert(key, Stored { value, version, lease: None });
+                        state.revision = state.revision.max(version);
+                        state.entries.insert(key, Stored { value, version, lease: None });
                     }
-                    Ask::Commits(reply) => drop(reply.send(world.commits.clone())),
+                    Ask::Commits(reply) => drop(reply.send(state.commits.clone())),
                 }
             }
         });
@@ -122,7 +122,7 @@
     }
 }
 
-impl World {
+impl StoreState {
     /// Leases that there are, and how long each lives from its renewal on.
     pub fn leases(&self) -> &BTreeMap<u64, u64> {
         &self.leases
