--- a/src/coordination/demand.rs
+++ b/src/coordination/demand.rs
@@ -7,6 +7,7 @@
 
 use super::leader::Leader;
 use super::model::Resources;
+use super::renting::Offer;
 use crate::protocol::jobs::JobId;
 use crate::storage::records::{EXPERIENCE, Experience, GroupExperience};
 
@@ -52,6 +53,15 @@
     pub(super) shape: Resources,
 }
 
+impl GroupKey {
+    /// Whether its jobs may use such machines.
+    pub(super) fn allows(&self, offer: &Offer) -> bool {
+        self.types.contains(&offer.kind)
+            && self.zone.as_ref().is_none_or(|zone| *zone == offer.zone)
+            && (self.spot || !offer.spot)
+    }
+}
+
 impl Demand {
     pub(super) fn new(now: Instant) -> Self {
         Demand {
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -19,7 +19,7 @@
 use super::model::{
     Job, Machine, Phase, Rental, ReplyTo, Resources, Slot, SlotKey, SlotState, Team, Written,
 };
-use super::renting::Backoff;
+use super::renting::{Backoff, Offer};
 use super::scheduler::{PromptNeed, Ranked};
 use crate::maps::{HashMap, HashSet};
 use crate::policy::Tuning;
@@ -200,7 +200,7 @@
     pub(super) class_ratio: HashMap<String, f64>,
     pub(super) spot_losses: f64,
     pub(super) spot_seconds: f64,
-    pub(super) backoff: HashMap<(usize, String, bool), Backoff>,
+    pub(super) backoff: HashMap<Offer, Backoff>,
     /// Since when all but a few machines have been heard in time.
     pub(super) clear_since: Option<Instant>,
     pub(super) listing: Option<ListRound>,
--- a/src/coordination/renting.rs
+++ b/src/coordination/renting.rs
@@ -16,10 +16,34 @@
 use crate::storage::records::RentalRecord;
 use crate::storage::service::StoreError;
 
-/// What to rent: type, zone, spot or not, how many.
-type RentOption = (usize, String, bool, u32);
+/// What the cloud rents out: a machine type in a zone, as a spot machine or not.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(super) struct Offer {
+    pub(super) kind: usize,
+    pub(super) zone: String,
+    pub(super) spot: bool,
+}
+
+/// A number of machines to be rented.
+#[derive(Debug)]
+struct RentalOrder {
+    offer: Offer,
+    count: u32,
+}
+
+/// Machines that demand can count on, and how many of them no group has taken yet.
+#[derive(Debug)]
+struct Supply {
+    offer: Offer,
+    left: f64,
+}
+
+/// Part of a machine below which the rest of a group's need keeps no machine.
+const SMALL_PART: f64 = 0.2;
+/// Part of a machine that may be missing without renting another.
+const SPARED_PART: f64 = 0.05;
 
-/// When a type, zone and kind may be tried again after a refusal.
+/// When an offer may be tried again after a refusal.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Backoff {
     pub(super) until: Instant,
@@ -35,168 +59,208 @@
     /// Covers every group's need with machines, the cheapest first, and rents
     /// what is missing. Returns the machines that are wanted.
     pub(super) fn rent(&mut self, now: Instant) -> HashSet<MachineId> {
-        let tuning = &self.config.tuning;
-        let headroom = tuning.headroom;
-        let spot_weight = tuning.spot_price_weight;
         let mut groups: Vec<(GroupKey, Demand)> =
             self.demand.iter().map(|(k, d)| (k.clone(), d.clone())).collect();
         // Those with the fewest choices first.
         groups.sort_by_key(|(k, _)| (k.types.len(), k.zone.is_none(), k.spot, k.clone()));
-        // What does not hear us does no work, and goes back once it is empty;
-        // unless it is most of them, when the fault is more likely on this side.
+        let mut present = self.present_supply(now);
+        let mut coming = self.coming_supply();
+        let mut wanted = HashSet::default();
+        let mut orders: Vec<RentalOrder> = Vec::new();
+        for (key, demand) in groups {
+            let mut need = self.need(now, &key, &demand);
+            let ordinary = self.cover(&key, &demand, &mut need, &mut present, &mut wanted);
+            self.count_coming(&key, &demand, &mut need, ordinary, &mut coming);
+            self.order_missing(now, &key, &demand, need, ordinary, &mut orders);
+        }
+        for order in orders {
+            self.request_rental(now, order);
+        }
+        wanted
+    }
+
+    /// Machines that are there and may be counted on, the cheapest first.
+    ///
+    /// What does not hear us does no work, and goes back once it is empty; unless it is
+    /// most of them, when the fault is more likely on this side.
+    fn present_supply(&self, now: Instant) -> Vec<(MachineId, Supply)> {
         let silence = self.silence(now);
         let doubted = self.machines.values().filter(|m| m.doubted).count();
         let trust_doubt = few(doubted, self.machines.len());
-        let mut left: Vec<(MachineId, usize, String, bool, f64)> = self
+        let mut present: Vec<(MachineId, Supply)> = self
             .machines
             .values()
             .filter(|m| m.phase != Phase::Deleting && !m.condemned && m.taken_at.is_none())
             .filter(|m| !silence.is_silent(m))
             .filter(|m| !(m.doubted && trust_doubt))
-            .map(|m| (m.id.clone(), m.kind, m.zone.clone(), m.spot, 1.0))
-            .collect();
-        let price = |kind: usize, spot: bool| -> f64 {
-            self.catalog.get(kind).map_or(f64::MAX, |k| {
-                (if spot { k.spot_price * spot_weight } else { k.price }) / k.cpus.max(1.0)
+            .map(|m| {
+                let offer = Offer { kind: m.kind, zone: m.zone.clone(), spot: m.spot };
+                (m.id.clone(), Supply { offer, left: 1.0 })
             })
-        };
+            .collect();
         // At one price those with the most on them, so that the others empty.
         // Prices are not negative: their bits are in the same order.
-        left.sort_by_cached_key(|(id, kind, _, spot, _)| {
+        present.sort_by_cached_key(|(id, supply)| {
             let load = self.machines.get(id).map_or(0, |m| m.slots.len());
-            (price(*kind, *spot).to_bits(), std::cmp::Reverse(load), id.clone())
+            (self.weighted_price(&supply.offer).to_bits(), std::cmp::Reverse(load), id.clone())
         });
-        // Machines asked for but not named yet count as if they were there.
-        let mut coming: Vec<(usize, String, bool, f64)> = self
-            .rentals
+        present
+    }
+
+    /// Machines asked for but not named yet count as if they were there.
+    fn coming_supply(&self) -> Vec<Supply> {
+        self.rentals
             .values()
-            .filter(|h| h.record.machines.is_none())
-            .map(|h| {
-                let r = &h.record.request;
-                let kind = self.kind_of(&r.machine_type);
-                (kind, r.zone.clone(), r.spot, f64::from(r.count))
+            .filter(|rental| rental.record.machines.is_none())
+            .map(|rental| {
+                let request = &rental.record.request;
+                let kind = self.kind_of(&request.machine_type);
+                let offer = Offer { kind, zone: request.zone.clone(), spot: request.spot };
+                Supply { offer, left: f64::from(request.count) }
             })
-            .collect();
-        let mut wanted = HashSet::default();
-        let mut orders: Vec<RentOption> = Vec::new();
-        let rentals = self.config.settings.cluster.cloud.rps.max(1.0);
-        for (key, demand) in groups {
-            // What may wait queues for a while instead of finding machines ready.
-            let usual = if key.patient {
-                demand.mean * tuning.patient_ratio
-            } else {
-                demand.mean * tuning.mean_ratio + demand.spread() * headroom
-            };
-            let backlog = demand.mean + demand.drain;
-            let at_once = demand.active + demand.pending;
-            let mut need = usual.max(backlog.min(at_once));
-            if demand.quiet_since.is_some_and(|since| now > since + self.longest_boot()) {
-                // Nothing has come for as long as a machine takes to boot:
-                // what is kept warm costs more than it saves.
-                need = 0.0;
+            .collect()
+    }
+
+    /// The price of a CPU, by which offers are compared.
+    fn weighted_price(&self, offer: &Offer) -> f64 {
+        self.catalog.get(offer.kind).map_or(f64::MAX, |kind| {
+            let weight = self.config.tuning.spot_price_weight;
+            (if offer.spot { kind.spot_price * weight } else { kind.price }) / kind.cpus.max(1.0)
+        })
+    }
+
+    /// What a group's machines should be able to run at once.
+    fn need(&self, now: Instant, key: &GroupKey, demand: &Demand) -> f64 {
+        let tuning = &self.config.tuning;
+        // What may wait queues for a while instead of finding machines ready.
+        let usual = if key.patient {
+            demand.mean * tuning.patient_ratio
+        } else {
+            demand.mean * tuning.mean_ratio + demand.spread() * tuning.headroom
+        };
+        let backlog = demand.mean + demand.drain;
+        let at_once = demand.active + demand.pending;
+        // Nothing has come for as long as a machine takes to boot: what is kept warm
+        // costs more than it saves.
+        let quiet = demand.quiet_since.is_some_and(|since| now > since + self.longest_boot());
+        let need = if quiet { 0.0 } else { usual.max(backlog.min(at_once)) };
+        tracing::debug!(
+            spot = key.spot,
+            mean = demand.mean,
+            spread = demand.spread(),
+            active = demand.active,
+            pending = demand.pending,
+            need,
+            "demand"
+        );
+        need
+    }
+
+    /// Takes what a group needs of the machines that are there, and notes them as
+    /// wanted. Returns how much of it ordinary machines cover.
+    fn cover(
+        &self,
+        key: &GroupKey,
+        demand: &Demand,
+        need: &mut f64,
+        present: &mut [(MachineId, Supply)],
+        wanted: &mut HashSet<MachineId>,
+    ) -> f64 {
+        let mut ordinary = 0.0;
+        for (id, supply) in present {
+            if *need <= 0.0 {
+                break;
             }
-            tracing::debug!(
-                spot = key.spot,
-                mean = demand.mean,
-                spread = demand.spread(),
-                active = demand.active,
-                pending = demand.pending,
-                need,
-                "demand"
-            );
-            let allows = |kind: usize, zone: &str, spot: bool| {
-                key.types.contains(&kind)
-                    && key.zone.as_deref().is_none_or(|z| z == zone)
-                    && (key.spot || !spot)
-            };
-            // What ordinary machines cover.
-            let mut dear = 0.0;
-            for (id, kind, zone, spot, part) in &mut left {
-                if need <= 0.0 {
-                    break;
-                }
-                let units = self.units(*kind, &demand, key.gpus);
-                if *part <= 0.0 || units <= 0.0 || !allows(*kind, zone, *spot) {
-                    continue;
-                }
-                let taken = (need / units).min(*part);
-                *part -= taken;
-                need -= taken * units;
-                if !*spot {
-                    dear += taken * units;
-                }
-                // For a small rest no whole machine is kept.
-                if taken > 0.2 || wanted.is_empty() {
-                    wanted.insert(id.clone());
-                }
+            let units = self.units(supply.offer.kind, demand, key.gpus);
+            if supply.left <= 0.0 || units <= 0.0 || !key.allows(&supply.offer) {
+                continue;
             }
-            for (kind, zone, spot, count) in &mut coming {
-                let units = self.units(*kind, &demand, key.gpus);
-                if need + dear > 0.0 && units > 0.0 && allows(*kind, zone, *spot) {
-                    let taken = ((need + dear) / units).min(*count);
-                    *count -= taken;
-                    need -= taken * units;
-                }
+            let taken = (*need / units).min(supply.left);
+            supply.left -= taken;
+            *need -= taken * units;
+            if !supply.offer.spot {
+                ordinary += taken * units;
             }
-            if need > 0.0 {
-                // After a wave hundreds of machines are missing: as many rentals as
-                // the cloud takes in a second, instead of one.
-                let room = (rentals as usize).saturating_sub(orders.len()).max(1);
-                for _ in 0..room {
-                    let Some(option) = self.choose_option(now, &key, &demand, need, &orders) else { break };
-                    need -= f64::from(option.3) * self.units(option.0, &demand, key.gpus);
-                    orders.push(option);
-                }
-            } else if key.spot && need + dear > 0.0 {
-                // Ordinary machines do what spot ones could: take those when
-                // they are to be had; the others then empty and go back.
-                let option = self.choose_option(now, &key, &demand, need + dear, &orders);
-                orders.extend(option.filter(|o| o.2));
+            if taken > SMALL_PART || wanted.is_empty() {
+                wanted.insert(id.clone());
+            }
+        }
+        ordinary
+    }
+
+    /// Takes what is still needed, or covered by ordinary machines, of those asked for.
+    fn count_coming(
+        &self,
+        key: &GroupKey,
+        demand: &Demand,
+        need: &mut f64,
+        ordinary: f64,
+        coming: &mut [Supply],
+    ) {
+        for supply in coming {
+            let units = self.units(supply.offer.kind, demand, key.gpus);
+            if *need + ordinary > 0.0 && units > 0.0 && key.allows(&supply.offer) {
+                let taken = ((*need + ordinary) / units).min(supply.left);
+                supply.left -= taken;
+                *need -= taken * units;
             }
         }
-        for (kind, zone, spot, count) in orders {
-            self.request_rental(now, kind, zone, spot, count);
+    }
+
+    /// Orders what is missing. After a wave hundreds of machines are: as many rentals
+    /// as the cloud takes in a second, instead of one.
+    fn order_missing(
+        &self,
+        now: Instant,
+        key: &GroupKey,
+        demand: &Demand,
+        mut need: f64,
+        ordinary: f64,
+        orders: &mut Vec<RentalOrder>,
+    ) {
+        if need > 0.0 {
+            let rentals = self.config.settings.cluster.cloud.rps.max(1.0) as usize;
+            for _ in 0..rentals.saturating_sub(orders.len()).max(1) {
+                let Some(order) = self.choose_offer(now, key, demand, need, orders) else { break };
+                need -= f64::from(order.count) * self.units(order.offer.kind, demand, key.gpus);
+                orders.push(order);
+            }
+        } else if key.spot && need + ordinary > 0.0 {
+            // Ordinary machines do what spot ones could: take those when
+            // they are to be had; the others then empty and go back.
+            let order = self.choose_offer(now, key, demand, need + ordinary, orders);
+            orders.extend(order.filter(|order| order.offer.spot));
         }
-        wanted
     }
 
     /// The cheapest way to get what is missing, beside what is chosen already;
     /// evens out zones at one price.
-    pub(super) fn choose_option(
+    fn choose_offer(
         &self,
         now: Instant,
         key: &GroupKey,
         demand: &Demand,
         need: f64,
-        chosen: &[RentOption],
-    ) -> Option<RentOption> {
-        let busy = |kind: usize, zone: &str, spot: bool| {
-            chosen.iter().any(|o| o.0 == kind && o.1 == zone && o.2 == spot)
-                || self.rentals.values().any(|h| {
-                    let r = &h.record.request;
-                    h.record.machines.is_none()
-                        && r.zone == zone
-                        && r.spot == spot
-                        && self.catalog.get(kind).is_some_and(|k| k.name == r.machine_type)
-                })
-                || self.backoff.get(&(kind, zone.to_owned(), spot)).is_some_and(|b| now < b.until)
-        };
-        let mut best: Option<(f64, usize, RentOption)> = None;
+        chosen: &[RentalOrder],
+    ) -> Option<RentalOrder> {
+        let mut best: Option<(f64, usize, RentalOrder)> = None;
         for &at in &key.types {
             let kind = self.catalog.get(at)?;
             let units = self.units(at, demand, key.gpus);
             if units <= 0.0 {
                 continue;
             }
-            let count = (need / units - 0.05).ceil().max(0.0) as u32;
+            let count = (need / units - SPARED_PART).ceil().max(0.0) as u32;
             if count == 0 {
                 continue;
             }
-            for zone in kind.zones.iter().filter(|z| key.zone.as_ref().is_none_or(|k| k == *z)) {
-                let coming = chosen.iter().filter(|o| o.1 == *zone).map(|o| o.3 as usize).sum::<usize>();
-                let here = self.machines.values().filter(|m| m.zone == *zone).count() + coming;
+            for zone in &kind.zones {
+                let ordered: usize =
+                    chosen.iter().filter(|o| o.offer.zone == *zone).map(|o| o.count as usize).sum();
+                let here = self.machines.values().filter(|m| m.zone == *zone).count() + ordered;
                 for spot in [true, false] {
-                    if (spot && !key.spot) || busy(at, zone, spot) {
+                    let offer = Offer { kind: at, zone: zone.clone(), spot };
+                    if !key.allows(&offer) || self.is_busy(now, &offer, chosen) {
                         continue;
                     }
                     let weight = self.config.tuning.spot_price_weight;
@@ -205,15 +269,30 @@
                         .as_ref()
                         .is_none_or(|(c, n, _)| cost < c * 0.99 || (cost < c * 1.01 && here < *n));
                     if better {
-                        best = Some((cost, here, (at, zone.clone(), spot, count.min(MAX_RENTAL))));
+                        best = Some((cost, here, RentalOrder { offer, count: count.min(MAX_RENTAL) }));
                     }
                 }
             }
         }
-        best.map(|(_, _, option)| option)
+        best.map(|(_, _, order)| order)
+    }
+
+    /// Whether the offer is being asked for, or was refused a moment ago.
+    fn is_busy(&self, now: Instant, offer: &Offer, chosen: &[RentalOrder]) -> bool {
+        chosen.iter().any(|order| order.offer == *offer)
+            || self.rentals.values().any(|rental| {
+                let request = &rental.record.request;
+                rental.record.machines.is_none()
+                    && request.zone == offer.zone
+                    && request.spot == offer.spot
+                    && self.catalog.get(offer.kind).is_some_and(|k| k.name == request.machine_type)
+            })
+            || self.backoff.get(offer).is_some_and(|b| now < b.until)
     }
 
-    pub(super) fn request_rental(&mut self, now: Instant, kind: usize, zone: String, spot: bool, count: u32) {
+    /// Records a rental; it is asked for once the record is written.
+    fn request_rental(&mut self, now: Instant, order: RentalOrder) {
+        let RentalOrder { offer: Offer { kind, zone, spot }, count } = order;
         let Some(machine_type) = self.catalog.get(kind).map(|k| k.name.clone()) else { return };
         self.next_rental += 1;
         // Epoch and counter: never used twice, by whichever controller.
@@ -286,16 +365,16 @@
             _ => return,
         };
         let kind = self.kind_of(&request.machine_type);
-        let option = (kind, request.zone.clone(), request.spot);
+        let offer = Offer { kind, zone: request.zone.clone(), spot: request.spot };
         self.write_rental(name);
         self.enter_rented(now, name);
         if short {
             let boot = self.catalog.get(kind).map_or(30.0, |k| k.boot_s).max(1.0);
             let first = Duration::from_secs_f64(boot / 2.0);
-            let wait = self.backoff.get(&option).map_or(first, |b| (b.wait * 2).min(first * 2));
-            self.backoff.insert(option, Backoff { until: now + wait, wait });
+            let wait = self.backoff.get(&offer).map_or(first, |b| (b.wait * 2).min(first * 2));
+            self.backoff.insert(offer, Backoff { until: now + wait, wait });
         } else {
-            self.backoff.remove(&option);
+            self.backoff.remove(&offer);
         }
     }
 }
