--- a/src/coordination/held_reports.rs
+++ b/src/coordination/held_reports.rs
@@ -43,6 +43,7 @@
 }
 
 impl<R> HeldReports<R> {
+    /// Holds nothing yet; the bound follows from the settings.
     pub fn new(config: &Config) -> Self {
         let workers = &config.settings.cluster.workers;
         let longest = workers
@@ -65,10 +66,12 @@
         self.by_machine.keys()
     }
 
+    /// The report held for a machine.
     pub fn get(&self, machine: &MachineId) -> Option<&HeldReport<R>> {
         self.by_machine.get(machine)
     }
 
+    /// Takes the report held for a machine, to be answered.
     pub fn remove(&mut self, machine: &MachineId) -> Option<HeldReport<R>> {
         self.by_machine.remove(machine)
     }
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -824,7 +824,7 @@
         self.machines.values().all(|m| m.known || !m.used)
     }
 
-    /// Notes when the picture becomes whole; what waited for it goes on.
+    /// Notes when all that was on machines before is known; what waited for it goes on.
     pub(super) fn check_recovered(&mut self) {
         if self.recovered || self.catalog.is_empty() || !self.has_recovered() {
             return;
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -958,6 +958,8 @@
     }
 }
 
+/// The answer to a report that was held: a worker that is sent away tries the next
+/// controller by itself.
 fn held_answer(reply: ReportReply) -> Answer {
     match reply {
         ReportReply::Orders { token, orders } => Answer::new(200, &report_answer(token, &orders)),
--- a/src/coordination/tests/overlapping_faults.rs
+++ b/src/coordination/tests/overlapping_faults.rs
@@ -1,4 +1,4 @@
-//! The overlapping faults of two faults that the users named, each brought about on a whole
+//! The overlapping faults that the users named, each brought about on a whole
 //! cluster: no rule may break, and it is shown that the meeting took place. The
 //! table in `docs/design.md` has the argument for each.
 
--- a/src/coordination/tests/simulation.rs
+++ b/src/coordination/tests/simulation.rs
@@ -568,7 +568,7 @@
 
     fn ask_cloud(&mut self, now: Instant, call: &Call) -> Response {
         if now < self.cloud_down_until {
-            return answer(503, &MapBuilder::new().set("error", "fault").build());
+            return answer(503, &MapBuilder::new().set("error", "trouble").build());
         }
         let body = decode(&call.body).unwrap_or(Value::Null);
         let path = call.target.split('?').next().unwrap_or_default();
--- a/src/storage/service.rs
+++ b/src/storage/service.rs
@@ -504,7 +504,7 @@
                     tracing::error!(times, ?status, unknown, "the state service did not carry out a write");
                 }
                 self.pause_until = Instant::now() + self.deadline / 10;
-                // Pushed to the handle one by one, so back to handle.
+                // Pushed to the front one by one, so back to front.
                 for mut item in items.into_iter().rev() {
                     item.unknown |= unknown;
                     item.alone |= unknown || matches!(outcome, Outcome::Rejected);
