Ask once for prices, images and 421s; give back the bound on aims of no time

Read over: the rewritten test for prompt aims had dropped the bound that an aim is longer than no time, so that an aim of 0 s would have held answers; it is back, with a test that fails without it. The price of a CPU was asked for in two ways (the plan's, with the policy's weight, now serves moving replicas, too; the same at the default weight), the cache of a type in two places, the 421 in five. A check that repeated has_open_room is gone; what only demand and renting use is private again.

--- a/src/coordination/agents.rs
+++ b/src/coordination/agents.rs
@@ -336,8 +336,7 @@
                     if let Some(job) = self.jobs.get_mut(&key.0) {
                         job.running = (job.running + u32::from(is)).saturating_sub(u32::from(was));
                         if is {
-                            let kind = self.catalog.get(m.kind).map_or(0.0, |k| k.cache_gb);
-                            m.note_image(&job.record.spec.image, job.record.spec.image_gb, kind);
+                            m.note_image(&job.record.spec, self.catalog.get(m.kind));
                         }
                     }
                 }
--- a/src/coordination/consolidation.rs
+++ b/src/coordination/consolidation.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 
 use super::leader::Leader;
-use super::model::{Machine, Phase, Resources, SlotKey, SlotState};
+use super::model::{Machine, Resources, SlotKey, SlotState};
 use crate::maps::HashMap;
 use crate::protocol::workers::MachineId;
 
@@ -42,7 +42,7 @@
         let mut candidates: Vec<&Machine> =
             self.machines.values().filter(|m| self.may_be_emptied(now, m)).collect();
         candidates.sort_by(|a, b| {
-            let by_price = self.price_per_cpu(b).total_cmp(&self.price_per_cpu(a));
+            let by_price = self.price_per_cpu(b.kind, b.spot).total_cmp(&self.price_per_cpu(a.kind, a.spot));
             by_price.then(a.slots.len().cmp(&b.slots.len()))
         });
         candidates.into_iter().find(|m| self.others_have_room(m)).map(|m| m.id.clone())
@@ -51,9 +51,7 @@
     fn may_be_emptied(&self, now: Instant, machine: &Machine) -> bool {
         let settled = self.config.settings.cluster.workers.report() * SETTLED_REPORTS;
         let boot = self.longest_boot();
-        machine.phase == Phase::Up
-            && machine.open()
-            && !machine.doubted
+        machine.has_open_room()
             && machine.unwanted_since.is_some_and(|since| now >= since + boot / 2)
             && !machine.slots.is_empty()
             && machine.slots.iter().all(|(key, slot)| {
@@ -65,12 +63,6 @@
             })
     }
 
-    fn price_per_cpu(&self, machine: &Machine) -> f64 {
-        self.catalog.get(machine.kind).map_or(0.0, |kind| {
-            (if machine.spot { kind.spot_price } else { kind.price }) / kind.cpus.max(1.0)
-        })
-    }
-
     /// Whether machines that stay have room, and the images, for all its replicas.
     fn others_have_room(&self, machine: &Machine) -> bool {
         let mut taken: HashMap<&MachineId, Resources> = HashMap::default();
--- a/src/coordination/demand.rs
+++ b/src/coordination/demand.rs
@@ -36,11 +36,11 @@
     pub(super) ideal: f64,
     pub(super) mean: f64,
     /// Mean size of a job, and of its square: large jobs come in one piece.
-    pub(super) size: f64,
-    pub(super) size_square: f64,
-    pub(super) jobs: f64,
-    pub(super) born: Instant,
-    pub(super) at: Instant,
+    size: f64,
+    size_square: f64,
+    jobs: f64,
+    born: Instant,
+    at: Instant,
     pub(super) active: f64,
     pub(super) pending: f64,
     /// Since when there has been no work at all.
@@ -49,8 +49,8 @@
     pub(super) drain: f64,
     /// How long its jobs may wait for their first aim; nothing for those that may
     /// not wait while machines boot.
-    pub(super) patience: Duration,
-    pub(super) shape: Resources,
+    patience: Duration,
+    shape: Resources,
 }
 
 impl GroupKey {
@@ -63,7 +63,7 @@
 }
 
 impl Demand {
-    pub(super) fn new(now: Instant) -> Self {
+    fn new(now: Instant) -> Self {
         Demand {
             ideal: 0.0,
             mean: 0.0,
@@ -81,7 +81,7 @@
         }
     }
 
-    pub(super) fn arrive(&mut self, units: f64) {
+    fn arrive(&mut self, units: f64) {
         self.jobs += 1.0;
         // A plain mean at first, later over about the last hundred jobs.
         let weight = 1.0 / self.jobs.min(100.0);
@@ -89,7 +89,7 @@
         self.size_square += (units * units - self.size_square) * weight;
     }
 
-    pub(super) fn sample(&mut self, now: Instant, memory: Duration) {
+    fn sample(&mut self, now: Instant, memory: Duration) {
         if self.active + self.pending + self.ideal > 0.0 {
             self.quiet_since = None;
         } else {
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -474,8 +474,7 @@
         job.slots += 1;
         if state == SlotState::Running {
             job.running += 1;
-            let cache_gb = self.catalog.get(m.kind).map_or(0.0, |k| k.cache_gb);
-            m.note_image(&job.record.spec.image, job.record.spec.image_gb, cache_gb);
+            m.note_image(&job.record.spec, self.catalog.get(m.kind));
         }
         if wanted {
             job.active.insert(key.1, machine.clone());
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -384,7 +384,11 @@
         self.images.iter().any(|(name, _)| name == image)
     }
 
-    pub fn note_image(&mut self, image: &str, size_gb: f64, cache_gb: f64) {
+    /// A task of the job runs here, so its image is cached; the least recent images give
+    /// way to it where the type's cache is full.
+    pub fn note_image(&mut self, spec: &JobSpec, kind: Option<&MachineType>) {
+        let (image, size_gb) = (spec.image.as_str(), spec.image_gb);
+        let cache_gb = kind.map_or(0.0, |kind| kind.cache_gb);
         if self.images.front().is_some_and(|(name, _)| name == image) {
             return;
         }
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -396,7 +396,7 @@
             let _ = reply.send(Answer::later(503, "leadership has changed", 1));
         }
         for held in self.held.drain() {
-            let _ = held.reply.send(Answer::new(421, &report_elsewhere(None)));
+            let _ = held.reply.send(elsewhere(None));
         }
     }
 
@@ -630,7 +630,7 @@
 
     fn hold(&mut self, now: Instant, message: ReportMessage) {
         if let Some(earlier) = self.held.hold(now, message.report, message.reply) {
-            let _ = earlier.reply.send(Answer::new(421, &report_elsewhere(None)));
+            let _ = earlier.reply.send(elsewhere(None));
         }
     }
 
@@ -671,7 +671,6 @@
         };
         let way = leader.as_ref().filter(|name| self.peers.reachable(now, name));
         let link = way.and_then(|name| self.links.get(name)).cloned();
-        let elsewhere = |name: Option<&str>| Answer::new(421, &report_elsewhere(name));
         let (Some(leader), Some(link), Some(body)) = (leader, link, body) else {
             // Nobody to name, or nobody that could be reached from here.
             let _ = reply.send(elsewhere(None));
@@ -698,7 +697,7 @@
             let silent = relayed.is_none().then_some(leader);
             let answer = match relayed {
                 Some(PeerReply { status, body, .. }) => Answer { status, body, retry_after_s: None },
-                None => Answer::new(421, &report_elsewhere(None)),
+                None => elsewhere(None),
             };
             let _ = reply.send(answer);
             let _ = inner.send(Inner::Relayed { silent }).await;
@@ -958,12 +957,17 @@
     }
 }
 
+/// Sends a worker to the leader, or, with nobody to name, to the next controller.
+fn elsewhere(leader: Option<&str>) -> Answer {
+    Answer::new(421, &report_elsewhere(leader))
+}
+
 /// The answer to a report that was held: a worker that is sent away tries the next
 /// controller by itself.
 fn held_answer(reply: ReportReply) -> Answer {
     match reply {
         ReportReply::Orders { token, orders } => Answer::new(200, &report_answer(token, &orders)),
-        ReportReply::Elsewhere => Answer::new(421, &report_elsewhere(None)),
+        ReportReply::Elsewhere => elsewhere(None),
     }
 }
 
--- a/src/coordination/renting.rs
+++ b/src/coordination/renting.rs
@@ -11,7 +11,7 @@
 use super::leader::{Leader, Ticket};
 use super::model::{Phase, Rental};
 use crate::maps::HashSet;
-use crate::protocol::cloud::{MAX_RENTAL, RentalRequest};
+use crate::protocol::cloud::{MAX_RENTAL, MachineType, RentalRequest};
 use crate::protocol::workers::MachineId;
 use crate::storage::records::RentalRecord;
 use crate::storage::service::StoreError;
@@ -46,8 +46,8 @@
 /// When an offer may be tried again after a refusal.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Backoff {
-    pub(super) until: Instant,
-    pub(super) wait: Duration,
+    until: Instant,
+    wait: Duration,
 }
 
 /// Whether so many of all are the exception, and to be believed.
@@ -102,7 +102,11 @@
         // Prices are not negative: their bits are in the same order.
         present.sort_by_cached_key(|(id, supply)| {
             let load = self.machines.get(id).map_or(0, |m| m.slots.len());
-            (self.weighted_price(&supply.offer).to_bits(), std::cmp::Reverse(load), id.clone())
+            (
+                self.price_per_cpu(supply.offer.kind, supply.offer.spot).to_bits(),
+                std::cmp::Reverse(load),
+                id.clone(),
+            )
         });
         present
     }
@@ -121,12 +125,14 @@
             .collect()
     }
 
-    /// The price of a CPU, by which offers are compared.
-    fn weighted_price(&self, offer: &Offer) -> f64 {
-        self.catalog.get(offer.kind).map_or(f64::MAX, |kind| {
-            let weight = self.config.tuning.spot_price_weight;
-            (if offer.spot { kind.spot_price * weight } else { kind.price }) / kind.cpus.max(1.0)
-        })
+    /// The price of a CPU, by which machines are compared.
+    pub(super) fn price_per_cpu(&self, kind: usize, spot: bool) -> f64 {
+        self.catalog.get(kind).map_or(f64::MAX, |kind| self.weighted_price(kind, spot) / kind.cpus.max(1.0))
+    }
+
+    /// The price of a machine, by which offers are compared.
+    fn weighted_price(&self, kind: &MachineType, spot: bool) -> f64 {
+        if spot { kind.spot_price * self.config.tuning.spot_price_weight } else { kind.price }
     }
 
     /// What a group's machines should be able to run at once.
@@ -263,8 +269,7 @@
                     if !key.allows(&offer) || self.is_busy(now, &offer, chosen) {
                         continue;
                     }
-                    let weight = self.config.tuning.spot_price_weight;
-                    let cost = f64::from(count) * if spot { kind.spot_price * weight } else { kind.price };
+                    let cost = f64::from(count) * self.weighted_price(kind, spot);
                     let better = best
                         .as_ref()
                         .is_none_or(|(c, n, _)| cost < c * 0.99 || (cost < c * 1.01 && here < *n));
--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -171,7 +171,7 @@
             .iter()
             .filter(|aim| aim.kind == "wait" && aim.class.as_ref().is_none_or(|c| *c == spec.class))
             .filter_map(|aim| aim.within_s)
-            .filter(move |&within| within < report)
+            .filter(move |&within| within > 0.0 && within < report)
     }
 
     pub(super) fn has_prompt_aim(&self, spec: &JobSpec) -> bool {
--- a/src/coordination/tests/placing.rs
+++ b/src/coordination/tests/placing.rs
@@ -329,3 +329,18 @@
     let running = vec![listed(&start, TaskState::Running)];
     assert!(!rig.leader.may_hold(&rig.reported("vm-1", 6, running)));
 }
+
+/// Nothing can start within no time: such an aim holds no answer.
+#[test]
+fn an_aim_of_no_time_at_all_is_not_prompt() {
+    let mut config = with_a_prompt_aim();
+    config.settings.cluster.objectives[0].within_s = Some(0.0);
+    let mut rig = Rig::configured(Vec::new(), vec![rented("vm-1", true)], config);
+    rig.beat("vm-1", 1, EPOCH, vec![]);
+    rig.accept(sample("job-1", "blue", 1, 1.0));
+    let start = starts(&rig.beat("vm-1", 2, EPOCH, vec![])).remove(0);
+    rig.beat("vm-1", 3, EPOCH, vec![listed(&start, DONE)]);
+    rig.commit_all();
+    assert_eq!(rig.beat("vm-1", 4, EPOCH, vec![]), vec![]);
+    assert!(!rig.leader.may_hold(&rig.reported("vm-1", 4, vec![])));
+}
