--- /dev/null
+++ b/src/coordination/tests/simulation/mod.rs
@@ -0,0 +1,343 @@
+//! A whole cluster in simulated time: real controllers, each with its election,
+//! its actors and its paced clients, over a scripted network; beside them a state
+//! service, a cloud, workers and users as PROTOCOL describes them. The rules are
+//! checked from outside, on what workers run and users are told, never by the
+//! controllers' own books.
+
+mod cloud;
+mod controllers;
+mod faults;
+mod rules;
+mod state_service;
+mod users;
+mod workers;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ciborium::value::Value;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::{AbortHandle, JoinSet};
+use tokio::time::Instant;
+
+use super::super::cloud as cloud_actor;
+use super::super::election::{self, Election};
+use super::super::leader::Config;
+use super::super::node::{Node, NodeHandle};
+use super::{placing, sample};
+use crate::maps::HashMap;
+use crate::policy;
+use crate::protocol::cbor::{Fields, MapBuilder, decode, encode, texts};
+use crate::protocol::cloud::{MachineType, encode_catalog};
+use crate::protocol::jobs::{Form, JobSpec, Priority};
+use crate::settings::{self, Settings};
+use crate::storage::service;
+use crate::storage::stand_in;
+use crate::transport::client::{Call, ClientError};
+use crate::transport::codec::{Request, Response};
+use crate::transport::peer::PeerHandler;
+use crate::transport::scripted::{self, Ask};
+use crate::transport::server::Handler;
+
+pub use faults::Fault;
+
+const STEP: Duration = Duration::from_millis(100);
+const LAG: Duration = Duration::from_secs(4);
+
+fn seconds(s: f64) -> Duration {
+    Duration::from_secs_f64(s)
+}
+
+struct Controller {
+    incarnation: u16,
+    handle: Option<NodeHandle>,
+    tasks: Vec<AbortHandle>,
+    back_at: Option<Instant>,
+    refused_until: Instant,
+    cut_until: Instant,
+    alone_until: Instant,
+}
+
+type TaskKey = (String, u32);
+
+#[derive(Debug, Clone, PartialEq)]
+enum RunState {
+    Fetching(Instant),
+    Running(Instant),
+    Exited(&'static str),
+}
+
+#[derive(Debug, Clone)]
+struct RunningTask {
+    attempt: u64,
+    state: RunState,
+}
+
+#[derive(Debug)]
+struct Worker {
+    zone: &'static str,
+    spot: bool,
+    address: SocketAddr,
+    rented: Instant,
+    up_at: Instant,
+    gone_at: Option<Instant>,
+    session: u64,
+    tick: u64,
+    token: u64,
+    /// The sending of the last answered report, or the session's begin.
+    lease_from: Instant,
+    tasks: Vec<(TaskKey, RunningTask)>,
+    target: usize,
+    next_report: Instant,
+    in_flight: bool,
+    changed: bool,
+    deaf_until: Instant,
+    mute_until: Instant,
+    hung_until: Instant,
+    /// Direct orders that wait for a hung machine to go on.
+    held: Vec<Vec<u8>>,
+    empty_since: Instant,
+}
+
+#[derive(Debug)]
+struct Job {
+    spec: JobSpec,
+    run: Duration,
+    asked: bool,
+    accepted: Option<Instant>,
+    given_up: bool,
+    cancel_from: Option<Instant>,
+    cancelled: Option<Instant>,
+    told: Option<(&'static str, Instant)>,
+    answered: Instant,
+    next: Instant,
+    in_flight: bool,
+    done: BTreeSet<u32>,
+    /// Since when it has waited beside room, its team being under its limit.
+    passed_over: Option<Instant>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Question {
+    Submit,
+    Poll,
+    Withdraw,
+    /// Not to be accepted: lacks a field, or fits nothing.
+    Odd(u16),
+    /// About a job that nobody submitted.
+    Unknown,
+}
+
+enum Event {
+    Reported { machine: String, session: u64, sent: Instant, answer: Option<Response> },
+    Answered { job: String, question: Question, sent: Instant, answer: Option<Response> },
+    Nothing,
+}
+
+struct Watch {
+    controller: usize,
+    incarnation: u16,
+    prefix: String,
+    from: u64,
+    until: Instant,
+    reply: oneshot::Sender<Result<Response, ClientError>>,
+}
+
+pub struct Simulation {
+    rng: SmallRng,
+    begin: Instant,
+    settings: Settings,
+    asks: mpsc::UnboundedReceiver<Ask>,
+    events: JoinSet<Event>,
+    state: stand_in::StoreState,
+    renewed: BTreeMap<u64, Instant>,
+    outage_until: Instant,
+    late_writes: (f64, Instant),
+    late: Vec<(Instant, Request)>,
+    watches: Vec<Watch>,
+    cloud_down_until: Instant,
+    rentals: HashMap<String, Vec<String>>,
+    next_machine: usize,
+    controllers: Vec<Controller>,
+    machines: BTreeMap<String, Worker>,
+    late_reports: (f64, Instant),
+    cancel_at_end: (f64, Instant),
+    jobs: BTreeMap<String, Job>,
+    next_job: usize,
+    job_every: f64,
+    next_arrival: Instant,
+    arrivals_until: Instant,
+    odd_from: Instant,
+    zone_cut_until: Instant,
+    faults: Vec<(f64, Fault)>,
+    pub calm_at: Instant,
+    pub broken: Vec<String>,
+    pub starts: usize,
+    pub late_changes: usize,
+    pub late_copies: usize,
+    pub called_off: usize,
+    pub lost_leases: usize,
+    pub leaders: BTreeSet<u64>,
+}
+
+fn catalog() -> Vec<MachineType> {
+    super::catalog().into_iter().map(|kind| MachineType { boot_s: 8.0, ..kind }).collect()
+}
+
+fn answer(status: u16, body: &Value) -> Response {
+    Response { status, body: encode(body), retry_after_s: None, close: false }
+}
+
+fn later(
+    reply: oneshot::Sender<Result<Response, ClientError>>,
+    result: Result<Response, ClientError>,
+    after: Duration,
+) {
+    tokio::spawn(async move {
+        tokio::time::sleep(after).await;
+        let _ = reply.send(result);
+    });
+}
+
+impl Simulation {
+    pub fn new(seed: u64, controllers: usize, mut faults: Vec<(f64, Fault)>, calm: f64) -> Self {
+        let asks = scripted::install();
+        let begin = Instant::now();
+        let mut settings = settings::tests::sample();
+        settings.cluster.size = controllers as u32;
+        settings.cluster.state.rps = 200.0;
+        settings.cluster.state.write_rps = 80.0;
+        settings.cluster.workers.lease_s = 20.0;
+        settings.cluster.workers.cancel_s = 45.0;
+        if seed % 4 >= 2 {
+            // Answers to reports are held for prompt starts.
+            settings.cluster.objectives.push(placing::prompt_aim(&settings.cluster.workers));
+        }
+        faults.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let controller = || Controller {
+            incarnation: 0,
+            handle: None,
+            tasks: Vec::new(),
+            back_at: Some(begin),
+            refused_until: begin,
+            cut_until: begin,
+            alone_until: begin,
+        };
+        Simulation {
+            rng: SmallRng::seed_from_u64(seed),
+            begin,
+            settings,
+            asks,
+            events: JoinSet::new(),
+            state: stand_in::StoreState::default(),
+            renewed: BTreeMap::new(),
+            outage_until: begin,
+            late_writes: (0.0, begin),
+            late: Vec::new(),
+            watches: Vec::new(),
+            cloud_down_until: begin,
+            rentals: HashMap::default(),
+            next_machine: 0,
+            controllers: (0..controllers).map(|_| controller()).collect(),
+            machines: BTreeMap::new(),
+            late_reports: (0.0, begin),
+            cancel_at_end: (0.0, begin),
+            jobs: BTreeMap::new(),
+            next_job: 0,
+            job_every: 4.0,
+            next_arrival: begin + seconds(3.0),
+            arrivals_until: begin + seconds(calm),
+            odd_from: begin + seconds(20.0),
+            zone_cut_until: begin,
+            faults,
+            calm_at: begin + seconds(calm),
+            broken: Vec::new(),
+            starts: 0,
+            late_changes: 0,
+            late_copies: 0,
+            called_off: 0,
+            lost_leases: 0,
+            leaders: BTreeSet::new(),
+        }
+    }
+
+    fn at(&self) -> f64 {
+        (Instant::now() - self.begin).as_secs_f64()
+    }
+
+    pub fn breaks(&mut self, rule: &str, what: String) {
+        if self.broken.len() < 50 {
+            self.broken.push(format!("{rule} at {:.1} s: {what}", self.at()));
+        }
+    }
+
+    /// Plays until then.
+    pub async fn run(&mut self, until: f64) {
+        let end = self.begin + seconds(until);
+        let mut step = tokio::time::interval(STEP);
+        while Instant::now() < end {
+            tokio::select! {
+                biased;
+                Some(ask) = self.asks.recv() => self.ask(ask),
+                Some(event) = self.events.join_next(), if !self.events.is_empty() => {
+                    if let Ok(event) = event { self.event(event) }
+                }
+                _ = step.tick() => self.step(Instant::now()),
+            }
+        }
+    }
+
+    // Time.
+
+    fn event(&mut self, event: Event) {
+        match event {
+            Event::Reported { machine, session, sent, answer } => {
+                self.reported(&machine, session, sent, answer);
+            }
+            Event::Answered { job, question, sent, answer } => self.answered(&job, question, sent, answer),
+            Event::Nothing => {}
+        }
+    }
+
+    fn step(&mut self, now: Instant) {
+        self.step_state(now);
+        while self.faults.first().is_some_and(|(at, _)| now >= self.begin + seconds(*at)) {
+            let (_, fault) = self.faults.remove(0);
+            self.begin_trouble(now, fault);
+        }
+        for at in 0..self.controllers.len() {
+            if self.controllers[at].back_at.is_some_and(|back| now >= back) {
+                self.start(at);
+            }
+        }
+        self.leader();
+        if now >= self.next_arrival && now < self.arrivals_until {
+            self.next_arrival = now + seconds(self.rng.random_range(0.2..2.0) * self.job_every);
+            self.arrive(now);
+        }
+        if now >= self.odd_from {
+            self.odd_from = now + seconds(self.rng.random_range(1.0..5.0));
+            self.odd(now);
+        }
+        for name in self.machines.keys().cloned().collect::<Vec<_>>() {
+            self.step_worker(now, &name);
+        }
+        for id in self.jobs.keys().cloned().collect::<Vec<_>>() {
+            self.step_user(now, &id);
+        }
+        self.check_cancelled(now);
+        self.check_waiting(now);
+    }
+}
+
+fn post(target: &str, body: Vec<u8>) -> Request {
+    Request { method: "POST".into(), target: target.into(), body, close: false }
+}
+
+fn get(target: &str) -> Request {
+    Request { method: "GET".into(), target: target.into(), body: Vec::new(), close: false }
+}
