Ask the record while a final write of the leader's own is under way

Cause of went_back: a settle or cancellation is carried out and its answer lost or late; a controller that cannot reach the leader reads the record and tells the final state; the leader tells what was before, from memory and under a valid lease.

The test fails on the code before (queued where done was due).

--- a/src/coordination/intake.rs
+++ b/src/coordination/intake.rs
@@ -15,6 +15,10 @@
             return self.answer(to, Answer::later(503, "not leading now", 1));
         }
         if let Some(job) = self.jobs.get(&spec.id) {
+            if job.is_undecided() {
+                let otherwise = Answer::later(503, "try again", 1);
+                return self.actions.push(Action::LookUp { to, job: spec.id, otherwise });
+            }
             let status = job.status();
             return self.answer(to, Answer::new(200, &status.encode()));
         }
@@ -98,9 +102,9 @@
     /// What the picture says of a job; `None` if the store must be asked.
     pub fn poll(&self, now: Instant, job: &JobId) -> Option<JobStatus> {
         let job = self.jobs.get(job)?;
-        // Without the lease another leader may know more; what is final is
-        // final in any case.
-        let usable = self.valid(now) || job.record.final_standing().is_some();
+        // Without the lease another leader may know more; with a final write under
+        // way, whoever reads the record may. What is final is final in any case.
+        let usable = (self.valid(now) && !job.is_undecided()) || job.record.final_standing().is_some();
         usable.then(|| job.status())
     }
 
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -178,6 +178,13 @@
         &self.record.spec
     }
 
+    /// A write that makes the job final is under way: it may have been carried out, and
+    /// others may have read it, before its outcome is heard here. Until then memory does
+    /// not say what the job is; the record does.
+    pub fn is_undecided(&self) -> bool {
+        self.writing.as_ref().is_some_and(|write| write.cancelled || write.settled)
+    }
+
     /// Whether tasks may still be started. A wanted cancellation ends that at
     /// once; whether it is committed only matters for what users are told.
     pub fn is_live(&self) -> bool {
--- a/src/coordination/node/tests.rs
+++ b/src/coordination/node/tests.rs
@@ -204,12 +204,14 @@
 async fn ask(node: &mut Node, inputs: &mut Inputs, call: PeerCall) -> Answer {
     let (reply, answer) = oneshot::channel();
     node.take_user(call, reply, Origin::User);
+    node.carry_out();
     tokio::pin!(answer);
     loop {
         tokio::select! {
             answer = &mut answer => return answer.expect("answered"),
             Some(inner) = inputs.inner.recv() => node.take_inner(inner),
         }
+        node.carry_out();
     }
 }
 
@@ -286,3 +288,49 @@
         assert_eq!(answer.status, status);
     }
 }
+
+/// A leader that has a job of one task, whose final write is under way: sent, its
+/// outcome not heard. `settles`: the task has ended; otherwise its user has called it off.
+fn leading_with_a_final_write_under_way(node: &mut Node, spec: &JobSpec, settles: bool) {
+    let now = Instant::now();
+    let record = JobRecord { begun: 1, ..JobRecord::new(spec.clone(), 0) };
+    let job = LoadedJob { record, version: 5, live_version: 5, block_versions: Vec::new() };
+    let loaded = Loaded { jobs: vec![job], ..Loaded::default() };
+    let mut leader = Leader::new(node.config.clone(), 40, now, 0, loaded);
+    leader.extend(now, now + Duration::from_secs(60));
+    if settles {
+        leader.mark_done(now, &spec.id, 0);
+    } else {
+        assert!(leader.withdraw(now, ReplyTo(0), &spec.id));
+    }
+    assert!(leader.take_actions().iter().any(|a| matches!(a, Action::Commit { .. })), "it is sent");
+    node.leader = Some(leader);
+}
+
+/// The cause of `went_back` (docs/incidents/inc-went-back.md): a transaction was carried
+/// out and only its answer lost, another controller read the record and told the final
+/// state, and the leader went on telling from memory what was before, under a valid lease.
+#[tokio::test]
+async fn a_leader_asks_the_record_while_a_final_write_of_its_own_is_under_way() {
+    let spec = crate::protocol::jobs::tests::sample("job-1", "red", 1, 1.0);
+    let repeat = || PeerCall::Submit(encode(&spec.encode().build()));
+    for (settles, standing) in [(true, "done"), (false, "cancelled")] {
+        for carried_out in [true, false] {
+            for call in [PeerCall::Poll("job-1".into()), repeat()] {
+                let (mut node, mut inputs, _handle) = rig().await;
+                leading_with_a_final_write_under_way(&mut node, &spec, settles);
+                let (settled, cancelled) = (carried_out && settles, carried_out && !settles);
+                let record = JobRecord { settled, cancelled, begun: 1, ..JobRecord::new(spec.clone(), 0) };
+                put_record(&node, record_key(&spec.id), record.encode(8.0)).await;
+                let answer = ask(&mut node, &mut inputs, call.clone()).await;
+                let expected = if carried_out { standing } else { "queued" };
+                assert_eq!((answer.status, standing_of(&answer)), (200, expected.to_owned()), "{call:?}");
+            }
+        }
+    }
+}
+
+fn standing_of(answer: &Answer) -> String {
+    let body = decode(&answer.body).expect("CBOR");
+    Fields::of(&body).expect("a map").text("standing").expect("a standing").to_owned()
+}
