--- /dev/null
+++ b/src/coordination/answers.rs
@@ -0,0 +1,180 @@
+//! What users are told: answers, how long each may be told, and what has been told.
+//!
+//! A state that is not final is true when it is decided; until it is sent another
+//! controller may lead and tell the final one. Such an answer therefore carries the time
+//! until which it may leave. A final state stays true, and wins over every other answer
+//! about its job. Every answer about a job passes through [`ToldStates::settle`], whatever
+//! way it came.
+
+use thiserror::Error;
+use tokio::time::Instant;
+
+use crate::maps::HashMap;
+use crate::protocol::cbor::{decode, encode};
+use crate::protocol::jobs::{JobId, JobStatus, refusal};
+use crate::transport::peer::{LeaseNote, PeerReply};
+
+/// An answer to a user.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answer {
+    pub status: u16,
+    pub body: Vec<u8>,
+    pub retry_after_s: Option<u32>,
+    /// The state of a job that it tells, if it tells one.
+    pub told: Option<JobStatus>,
+    /// Until when it may be told; `None`: for good.
+    pub basis: Option<Basis>,
+}
+
+/// What an answer that is not final rests on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Basis {
+    /// The epoch under which it was decided; 0 where it was read from a record.
+    pub epoch: u64,
+    /// The end of that epoch's lease, as far as it was known then; or of the time that
+    /// a read of a record counts as fresh.
+    pub until: Instant,
+}
+
+impl Answer {
+    pub fn new(status: u16, body: &ciborium::value::Value) -> Self {
+        Answer { status, body: encode(body), retry_after_s: None, told: None, basis: None }
+    }
+
+    pub fn refused(status: u16, reason: &str) -> Self {
+        Answer::new(status, &refusal(reason))
+    }
+
+    /// Can't be taken now: said at once, with a time to come back.
+    pub fn later(status: u16, reason: &str, after_s: u32) -> Self {
+        Answer { retry_after_s: Some(after_s.clamp(1, 30)), ..Answer::refused(status, reason) }
+    }
+
+    /// A job's state. One that is not final holds as long as its basis.
+    pub fn state(status: u16, job: JobStatus, basis: Basis) -> Self {
+        let basis = (!job.standing.is_final()).then_some(basis);
+        Answer { told: Some(job.clone()), basis, ..Answer::new(status, &job.encode()) }
+    }
+
+    /// A job's final state: true whoever leads, and whenever it is sent.
+    pub fn final_state(job: JobStatus) -> Self {
+        Answer { told: Some(job.clone()), ..Answer::new(200, &job.encode()) }
+    }
+
+    /// The last step before it is sent: one that has outlived its basis is not told.
+    pub fn at_sending(self, now: Instant) -> Self {
+        match self.basis {
+            Some(basis) if now >= basis.until => Answer::later(503, "leadership may have changed", 1),
+            _ => self,
+        }
+    }
+
+    /// The answer as another controller gets it, which learns how long it holds.
+    pub fn into_reply(self, now: Instant) -> PeerReply {
+        let Answer { status, body, retry_after_s, basis, .. } = self.at_sending(now);
+        let lease = basis.map(|basis| LeaseNote { epoch: basis.epoch, left: basis.until - now });
+        PeerReply { status, body, retry_after_s, lease }
+    }
+}
+
+/// Why another controller's answer is not passed on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum UnusableReply {
+    #[error("no status that a user's request can have")]
+    Status,
+    #[error("no readable state of a job")]
+    Malformed,
+    #[error("it is about another job")]
+    OtherJob,
+    #[error("it answers a cancellation with a state that is not final")]
+    NotFinal,
+    #[error("it was decided in an epoch that is over")]
+    Stale,
+}
+
+/// The answer in another controller's reply about a job.
+///
+/// `asked`: when the request was handed on. The lease that stood behind the answer had the
+/// time that the reply names left when it was sent, which was later, so counting from
+/// `asked` never makes it longer. A reply that names none is of a build before leases were
+/// named, or rests on a record; it counts until `fresh_until`.
+pub fn forwarded(
+    reply: PeerReply,
+    job: &JobId,
+    asked: Instant,
+    fresh_until: Instant,
+    newest_epoch: u64,
+) -> Result<Answer, UnusableReply> {
+    let PeerReply { status, body, retry_after_s, lease } = reply;
+    match status {
+        200 | 201 => {}
+        400 | 404 | 422 | 429 | 503 | 504 => {
+            return Ok(Answer { status, body, retry_after_s, told: None, basis: None });
+        }
+        _ => return Err(UnusableReply::Status),
+    }
+    let told = decode(&body).and_then(|value| JobStatus::decode(&value));
+    let told = told.map_err(|_| UnusableReply::Malformed)?;
+    if told.id != *job {
+        return Err(UnusableReply::OtherJob);
+    }
+    if told.standing.is_final() {
+        return Ok(Answer { status, ..Answer::final_state(told) });
+    }
+    let basis = match lease {
+        Some(lease) => Basis { epoch: lease.epoch, until: asked + lease.left },
+        None => Basis { epoch: 0, until: fresh_until },
+    };
+    if basis.epoch > 0 && basis.epoch < newest_epoch {
+        return Err(UnusableReply::Stale);
+    }
+    Ok(Answer::state(status, told, basis))
+}
+
+/// Final states that were told, or learnt from records. Bounded: two generations, the
+/// older dropped when the younger is full. What is dropped is in the records.
+#[derive(Debug)]
+pub struct ToldStates {
+    young: HashMap<JobId, JobStatus>,
+    old: HashMap<JobId, JobStatus>,
+    most: usize,
+}
+
+impl ToldStates {
+    pub fn new(most: usize) -> Self {
+        ToldStates { young: HashMap::default(), old: HashMap::default(), most }
+    }
+
+    pub fn insert(&mut self, status: JobStatus) {
+        if self.get(&status.id).is_some() {
+            return;
+        }
+        if self.young.len() >= self.most / 2 {
+            self.old = std::mem::take(&mut self.young);
+        }
+        self.young.insert(status.id.clone(), status);
+    }
+
+    pub fn get(&self, job: &JobId) -> Option<&JobStatus> {
+        self.young.get(job).or_else(|| self.old.get(job))
+    }
+
+    /// What is told of a job: the final state if one is known, else the answer, which
+    /// is remembered if it tells one.
+    pub fn settle(&mut self, job: &JobId, answer: Answer) -> Answer {
+        if let Some(known) = self.get(job) {
+            let differs = |told: &JobStatus| told.standing != known.standing;
+            if answer.told.as_ref().is_some_and(|told| told.standing.is_final() && differs(told)) {
+                tracing::error!(%job, known = known.standing.word(), "two final states; the first is told");
+            }
+            return Answer::final_state(known.clone());
+        }
+        if let Some(told) = answer.told.as_ref().filter(|told| told.standing.is_final()) {
+            self.insert(told.clone());
+        }
+        answer
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/coordination/intake.rs
+++ b/src/coordination/intake.rs
@@ -2,7 +2,8 @@
 
 use tokio::time::Instant;
 
-use super::leader::{Action, Answer, Creating, Leader, Ticket};
+use super::answers::Answer;
+use super::leader::{Action, Creating, Leader, Ticket};
 use super::model::{ReplyTo, Resources};
 use crate::protocol::jobs::{Form, JobId, JobSpec, JobStatus, Standing};
 use crate::protocol::state::{Change, Condition};
@@ -19,8 +20,8 @@
                 let otherwise = Answer::later(503, "try again", 1);
                 return self.actions.push(Action::LookUp { to, job: spec.id, otherwise });
             }
-            let status = job.status();
-            return self.answer(to, Answer::new(200, &status.encode()));
+            let answer = Answer::state(200, job.status(), self.basis());
+            return self.answer(to, answer);
         }
         if let Some(creating) = self.creating.get_mut(&spec.id) {
             return creating.waiting.push(to);
@@ -79,9 +80,9 @@
         match result {
             Ok(version) => {
                 self.insert_job(now, record, version);
-                let body = JobStatus { id: job, standing: Standing::Queued, done: 0, running: 0 }.encode();
+                let status = JobStatus { id: job, standing: Standing::Queued, done: 0, running: 0 };
                 for to in waiting {
-                    self.answer(to, Answer::new(201, &body));
+                    self.answer(to, Answer::state(201, status.clone(), self.basis()));
                 }
             }
             // It was accepted earlier and is over: the record tells.
@@ -100,12 +101,20 @@
     }
 
     /// What the picture says of a job; `None` if the store must be asked.
-    pub fn poll(&self, now: Instant, job: &JobId) -> Option<JobStatus> {
+    pub fn poll(&self, now: Instant, job: &JobId) -> Option<Answer> {
         let job = self.jobs.get(job)?;
         // Without the lease another leader may know more; with a final write under
         // way, whoever reads the record may. What is final is final in any case.
         let usable = (self.valid(now) && !job.is_undecided()) || job.record.final_standing().is_some();
-        usable.then(|| job.status())
+        usable.then(|| Answer::state(200, job.status(), self.basis()))
+    }
+
+    /// What to say of a job whose record was just read and is not final. The picture may
+    /// have become final meanwhile, and knows what runs; `None` if it may not be told.
+    pub fn beside_live_record(&self, now: Instant, job: &JobId) -> Option<Answer> {
+        let job = self.jobs.get(job)?;
+        let usable = self.valid(now) || job.record.final_standing().is_some();
+        usable.then(|| Answer::state(200, job.status(), self.basis()))
     }
 
     /// False if the job is not in the picture and the store must be asked.
@@ -120,7 +129,7 @@
         };
         if j.record.final_standing().is_some() {
             let status = j.status();
-            self.answer(to, Answer::new(200, &status.encode()));
+            self.answer(to, Answer::final_state(status));
         } else if !valid {
             self.answer(to, Answer::later(503, "not leading now", 1));
         } else {
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -13,6 +13,7 @@
 use rand::rngs::SmallRng;
 use tokio::time::Instant;
 
+use super::answers::{Answer, Basis};
 use super::cloud::{CloudCall, CloudResult};
 use super::demand::{Demand, GroupKey};
 use super::machine_list::ListRound;
@@ -23,9 +24,9 @@
 use super::scheduler::{PromptNeed, Ranked};
 use crate::maps::{HashMap, HashSet};
 use crate::policy::Tuning;
-use crate::protocol::cbor::{MapBuilder, encode};
+use crate::protocol::cbor::MapBuilder;
 use crate::protocol::cloud::MachineType;
-use crate::protocol::jobs::{JobId, JobSpec, refusal};
+use crate::protocol::jobs::{JobId, JobSpec};
 use crate::protocol::state::{Change, Condition};
 use crate::protocol::workers::{ANSWER_WITHIN, MachineId, Order};
 use crate::settings::Settings;
@@ -35,29 +36,6 @@
 };
 use crate::storage::service::{Class, StoreError, Transaction};
 
-/// An answer to a user.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Answer {
-    pub status: u16,
-    pub body: Vec<u8>,
-    pub retry_after_s: Option<u32>,
-}
-
-impl Answer {
-    pub fn new(status: u16, body: &ciborium::value::Value) -> Self {
-        Answer { status, body: encode(body), retry_after_s: None }
-    }
-
-    pub fn refused(status: u16, reason: &str) -> Self {
-        Answer::new(status, &refusal(reason))
-    }
-
-    /// Can't be taken now: said at once, with a time to come back.
-    pub fn later(status: u16, reason: &str, after_s: u32) -> Self {
-        Answer { retry_after_s: Some(after_s.clamp(1, 30)), ..Answer::refused(status, reason) }
-    }
-}
-
 /// What is to be done outside.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
@@ -347,6 +325,11 @@
         now < self.until && !self.fenced
     }
 
+    /// What answers decided now rest on.
+    pub(super) fn basis(&self) -> Basis {
+        Basis { epoch: self.epoch, until: self.until }
+    }
+
     /// The epoch is over for certain: the leader is to be dropped.
     pub fn is_over(&self) -> bool {
         self.fenced
@@ -655,7 +638,7 @@
             Some(standing) => {
                 tracing::debug!(%job, standing = standing.word(), "job is over");
                 for to in waiting {
-                    self.answer(to, Answer::new(200, &status.encode()));
+                    self.answer(to, Answer::final_state(status.clone()));
                 }
                 self.stop_leftovers(now, &job);
                 self.try_move(&job);
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -2,6 +2,7 @@
 //! take time and events as input; [`node`] is the actor that feeds them.
 
 pub mod agents;
+mod answers;
 pub mod cloud;
 mod consolidation;
 mod demand;
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -2,6 +2,10 @@
 //! other controllers send, and feeds the leader's state machine while this
 //! controller leads.
 
+mod handle;
+mod reports;
+mod user_requests;
+
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -9,10 +13,11 @@
 use tokio::time::{Instant, MissedTickBehavior};
 
 use super::agents::ReportReply;
+use super::answers::{self, Answer, Basis, ToldStates, UnusableReply};
 use super::cloud::{Cloud, CloudResult};
 use super::election::Role;
 use super::held_reports::{HeldReport, HeldReports};
-use super::leader::{Action, Answer, Config, Leader, Loaded, LoadedJob};
+use super::leader::{Action, Config, Leader, Loaded, LoadedJob};
 use super::loading::{load, walk};
 use super::model::ReplyTo;
 use super::peers::{Detour, Detours, PeerState, Peers};
@@ -26,9 +31,8 @@
 use crate::storage::records::{JobRecord, record_key};
 use crate::storage::service::{Class, Store, StoreError};
 use crate::transport::client::{Call, Prepared};
-use crate::transport::codec::{Limits, Request, Response};
-use crate::transport::peer::{PeerCall, PeerHandler, PeerLink, PeerReply};
-use crate::transport::server::Handler;
+use crate::transport::codec::Limits;
+use crate::transport::peer::{PeerCall, PeerLink, PeerReply};
 
 /// Longest that a user's request is pursued before it is given up. Users wait
 /// five seconds for a submission and two for a poll.
@@ -37,6 +41,9 @@
 const LOG_INTERVAL: Duration = Duration::from_secs(10);
 const TICK: Duration = Duration::from_millis(200);
 
+pub use handle::NodeHandle;
+use user_requests::{ForwardedReply, LookUp, RecordRead, UserRequest, Waiting};
+
 type Reply = oneshot::Sender<Answer>;
 
 /// Where a call comes from, which bounds how far it goes.
@@ -78,9 +85,14 @@
         ticket: u64,
         result: CloudResult,
     },
+    /// A job's record was read for a user.
     LookedUp {
-        final_status: Option<JobStatus>,
+        look_up: LookUp,
+        started: Instant,
+        read: RecordRead,
     },
+    /// Another controller replied to a request that was handed on.
+    Forwarded(Box<ForwardedReply>),
     DirectDone,
     Reconciled {
         epoch: u64,
@@ -102,104 +114,8 @@
     Relayed {
         silent: Option<String>,
     },
-    /// A poll that no way led to the leader for: the record is left.
-    Unanswered {
-        reply: Reply,
-        job: JobId,
-    },
-}
-
-/// Speaks to the actor; answers HTTP requests and other controllers.
-#[derive(Clone)]
-pub struct NodeHandle {
-    users: mpsc::Sender<UserMessage>,
-    reports: mpsc::Sender<ReportMessage>,
-    ready: watch::Receiver<bool>,
-}
-
-impl NodeHandle {
-    async fn user(&self, call: PeerCall, origin: Origin) -> Answer {
-        self.ask(|reply| UserMessage::Call { call, reply, origin, arrived: Instant::now() }).await
-    }
-
-    async fn ask(&self, message: impl FnOnce(Reply) -> UserMessage) -> Answer {
-        let (reply, answer) = oneshot::channel();
-        // A full buffer holds nobody: the edge refuses at once.
-        if self.users.try_send(message(reply)).is_err() {
-            return Answer::later(429, "too many requests at once", 1);
-        }
-        answer.await.unwrap_or_else(|_| Answer::later(503, "try again", 1))
-    }
-
-    async fn report(&self, body: Vec<u8>, relayed: bool) -> Answer {
-        let report = match decode(&body).and_then(|value| Report::decode(&value)) {
-            Ok(report) => report,
-            Err(error) => return Answer::refused(400, &error.to_string()),
-        };
-        let (reply, answer) = oneshot::channel();
-        let body = (!relayed).then_some(body);
-        let message = ReportMessage { report, body, reply, arrived: Instant::now() };
-        if self.reports.try_send(message).is_err() {
-            return Answer::later(503, "too many reports at once", 1);
-        }
-        answer.await.unwrap_or_else(|_| Answer::later(503, "try again", 1))
-    }
-
-    async fn route(&self, request: Request) -> Answer {
-        let target = request.target.as_str();
-        let path = target.split('?').next().unwrap_or_default();
-        let post = request.method == "POST";
-        let get = request.method == "GET";
-        match path {
-            "/agent/beat" if post => self.report(request.body, false).await,
-            "/agent/beat" | "/api/jobs" if !post => Answer::refused(405, "POST only"),
-            "/api/jobs" => self.user(PeerCall::Submit(request.body), Origin::User).await,
-            "/status" if get => self.ask(|reply| UserMessage::Status { reply }).await,
-            "/ready" if get => {
-                if *self.ready.borrow() {
-                    Answer { status: 200, body: Vec::new(), retry_after_s: None }
-                } else {
-                    Answer::later(503, "not ready", 1)
-                }
-            }
-            _ => {
-                let Some(rest) = path.strip_prefix("/api/jobs/") else {
-                    return Answer::refused(404, "no such path");
-                };
-                let (id, withdraw) = match rest.strip_suffix("/withdraw") {
-                    Some(id) => (id, true),
-                    None => (rest, false),
-                };
-                if JobId::parse(id).is_none() {
-                    return Answer::refused(404, "no such job");
-                }
-                match (withdraw, post, get) {
-                    (true, true, _) => self.user(PeerCall::Withdraw(id.to_owned()), Origin::User).await,
-                    (false, _, true) => self.user(PeerCall::Poll(id.to_owned()), Origin::User).await,
-                    _ => Answer::refused(405, "method not allowed here"),
-                }
-            }
-        }
-    }
-}
-
-impl Handler for NodeHandle {
-    async fn handle(&self, request: Request) -> Response {
-        let Answer { status, body, retry_after_s } = self.route(request).await;
-        Response { status, body, retry_after_s, close: false }
-    }
-}
-
-impl PeerHandler for NodeHandle {
-    async fn handle(&self, call: PeerCall, relay: bool) -> PeerReply {
-        let origin = if relay { Origin::Relay } else { Origin::Peer };
-        let answer = match call {
-            PeerCall::Report(body) => self.report(body, true).await,
-            call => self.user(call, origin).await,
-        };
-        let Answer { status, body, retry_after_s } = answer;
-        PeerReply { status, body, retry_after_s }
-    }
+    /// A user's request that no way led to the leader for.
+    Unanswered(UserRequest),
 }
 
 /// Everything the actor owns.
@@ -223,11 +139,12 @@
     ready: watch::Sender<bool>,
     leader: Option<Leader>,
     held: HeldReports<oneshot::Sender<Answer>>,
-    waiting: HashMap<ReplyTo, (Reply, Instant)>,
+    waiting: HashMap<ReplyTo, Waiting>,
     next_reply: u64,
     lookups: usize,
     directs: usize,
-    finals: Finals,
+    /// Final states that were told from here, or learnt.
+    told: ToldStates,
     sizes: Sizes,
     inner: mpsc::Sender<Inner>,
     last_led: Instant,
@@ -239,31 +156,6 @@
     statistics: Statistics,
 }
 
-/// Final standings, bounded: two generations, the older dropped when the
-/// younger is full.
-struct Finals {
-    young: HashMap<JobId, JobStatus>,
-    old: HashMap<JobId, JobStatus>,
-    most: usize,
-}
-
-impl Finals {
-    fn new(most: usize) -> Self {
-        Finals { young: HashMap::default(), old: HashMap::default(), most }
-    }
-
-    fn insert(&mut self, status: JobStatus) {
-        if self.young.len() >= self.most / 2 {
-            self.old = std::mem::take(&mut self.young);
-        }
-        self.young.insert(status.id.clone(), status);
-    }
-
-    fn get(&self, job: &JobId) -> Option<&JobStatus> {
-        self.young.get(job).or_else(|| self.old.get(job))
-    }
-}
-
 pub struct Inputs {
     users: mpsc::Receiver<UserMessage>,
     reports: mpsc::Receiver<ReportMessage>,
@@ -317,7 +209,7 @@
             next_reply: 0,
             lookups: 0,
             directs: 0,
-            finals: Finals::new(sizes.finals),
+            told: ToldStates::new(sizes.finals),
             sizes,
             inner: inner_in,
             last_led: now,
@@ -392,11 +284,12 @@
         if self.leader.take().is_some() {
             tracing::info!("the epoch is over; its picture is dropped");
         }
-        for (_, (reply, _)) in self.waiting.drain() {
-            let _ = reply.send(Answer::later(503, "leadership has changed", 1));
+        for (_, waiting) in std::mem::take(&mut self.waiting) {
+            let answer = Answer::later(503, "leadership has changed", 1);
+            self.tell(waiting.reply, &waiting.job, answer);
         }
         for held in self.held.drain() {
-            let _ = held.reply.send(elsewhere(None));
+            let _ = held.reply.send(reports::elsewhere(None));
         }
     }
 
@@ -452,12 +345,8 @@
                     leader.cloud_done(now, ticket, result);
                 }
             }
-            Inner::LookedUp { final_status } => {
-                self.lookups -= 1;
-                if let Some(status) = final_status {
-                    self.finals.insert(status);
-                }
-            }
+            Inner::LookedUp { look_up, started, read } => self.looked_up(look_up, started, read),
+            Inner::Forwarded(reply) => self.forwarded(*reply),
             Inner::DirectDone => self.directs -= 1,
             Inner::PeerAnswered { peer, peer_state } => self.peer_answered(now, &peer, peer_state),
             Inner::PeerSilent { peer } => self.peers.silent(now, &peer),
@@ -469,7 +358,7 @@
                     self.peers.silent(now, &peer);
                 }
             }
-            Inner::Unanswered { reply, job } => self.look_up(reply, job, Answer::refused(404, "no such job")),
+            Inner::Unanswered(request) => self.without_leader(request, "the leader did not answer"),
             Inner::Reconciled { epoch, from, restored } => {
                 self.walking = false;
                 self.walk_from = from;
@@ -489,12 +378,12 @@
         let late: Vec<ReplyTo> = self
             .waiting
             .iter()
-            .filter(|(_, (_, since))| now > *since + PATIENCE)
+            .filter(|(_, waiting)| now > waiting.since + PATIENCE)
             .map(|(to, _)| *to)
             .collect();
         for to in late {
-            if let Some((reply, _)) = self.waiting.remove(&to) {
-                let _ = reply.send(Answer::later(503, "not recorded in time", 1));
+            if let Some(Waiting { reply, job, .. }) = self.waiting.remove(&to) {
+                self.tell(reply, &job, Answer::later(503, "not recorded in time", 1));
             }
         }
         let leads = self.leader.as_ref().is_some_and(|l| l.valid(now));
@@ -599,111 +488,6 @@
         });
     }
 
-    fn take_report(&mut self, message: ReportMessage) {
-        let now = Instant::now();
-        // Its worker has left: a start in the answer would be lost, and an answer
-        // counted as one would only put off the proof that the machine is gone.
-        if now >= message.arrived + ANSWER_WITHIN {
-            return;
-        }
-        let reply = match &mut self.leader {
-            Some(leader) => leader.report(now, &message.report),
-            None => ReportReply::Elsewhere,
-        };
-        let answer = match reply {
-            ReportReply::Orders { token, orders } => {
-                // One that was handed on is waited for by the controller between.
-                let direct = message.body.is_some();
-                if direct
-                    && orders.is_empty()
-                    && self.leader.as_ref().is_some_and(|l| l.may_hold(&message.report))
-                {
-                    return self.hold(now, message);
-                }
-                Answer::new(200, &report_answer(token, &orders))
-            }
-            ReportReply::Elsewhere => return self.send_elsewhere(now, message),
-        };
-        let _ = message.reply.send(answer);
-        self.statistics.report(message.arrived);
-    }
-
-    fn hold(&mut self, now: Instant, message: ReportMessage) {
-        if let Some(earlier) = self.held.hold(now, message.report, message.reply) {
-            let _ = earlier.reply.send(elsewhere(None));
-        }
-    }
-
-    /// Sends the held answers whose time is over, as the leader decides them now.
-    fn end_holds(&mut self) {
-        let now = Instant::now();
-        let Some(leader) = &mut self.leader else { return };
-        for HeldReport { report, reply, .. } in self.held.expired(now) {
-            let _ = reply.send(held_answer(leader.answer_held(now, &report)));
-        }
-    }
-
-    /// Sends the held answers for which there are orders now.
-    fn answer_held(&mut self) {
-        let now = Instant::now();
-        let Some(leader) = &mut self.leader else { return };
-        for machine in leader.to_decide(self.held.machines()) {
-            let Some(held) = self.held.get(&machine) else { continue };
-            let decided = leader.answer_held(now, &held.report);
-            if matches!(&decided, ReportReply::Orders { orders, .. } if orders.is_empty()) {
-                continue;
-            }
-            if let Some(held) = self.held.remove(&machine) {
-                let _ = held.reply.send(held_answer(decided));
-            }
-        }
-    }
-
-    /// For the leader: the worker is sent there. If it comes back it cannot
-    /// reach it, as in a cut between two zones, and its report is handed on.
-    /// The leader's answer, under its token and lease, goes back unchanged; an
-    /// answer that takes too long the worker drops, as it would any other.
-    fn send_elsewhere(&mut self, now: Instant, message: ReportMessage) {
-        let ReportMessage { report, body, reply, arrived } = message;
-        let (leader, epoch) = match self.other_leader(now) {
-            Some((leader, epoch)) => (Some(leader.to_owned()), epoch),
-            None => (None, 0),
-        };
-        let way = leader.as_ref().filter(|name| self.peers.reachable(now, name));
-        let link = way.and_then(|name| self.links.get(name)).cloned();
-        let (Some(leader), Some(link), Some(body)) = (leader, link, body) else {
-            // Nobody to name, or nobody that could be reached from here.
-            let _ = reply.send(elsewhere(None));
-            return;
-        };
-        let named = match self.detours.judge(now, &report.machine, report.token == epoch) {
-            Detour::Redirect => Some(leader.as_str()),
-            // More than can be handed on at once: it asks again, here or there,
-            // rather than wait for one that does not answer it.
-            Detour::Relay if self.relaying >= self.sizes.relays => None,
-            Detour::Relay => {
-                return self.relay(link, leader, body, reply);
-            }
-        };
-        let _ = reply.send(elsewhere(named));
-        self.statistics.report(arrived);
-    }
-
-    fn relay(&mut self, link: PeerLink, leader: String, body: Vec<u8>, reply: oneshot::Sender<Answer>) {
-        self.relaying += 1;
-        let inner = self.inner.clone();
-        tokio::spawn(async move {
-            let relayed = link.call(PeerCall::Report(body), false, POLL_PATIENCE).await;
-            let silent = relayed.is_none().then_some(leader);
-            let answer = match relayed {
-                Some(PeerReply { status, body, .. }) => Answer { status, body, retry_after_s: None },
-                None => elsewhere(None),
-            };
-            let _ = reply.send(answer);
-            let _ = inner.send(Inner::Relayed { silent }).await;
-        });
-    }
-
     /// Figures for operators.
     fn status(&self) -> ciborium::value::Value {
         let role = match &self.role {
@@ -722,185 +506,6 @@
         self.statistics.figures(figures).build()
     }
 
-    fn take_user(&mut self, call: PeerCall, reply: Reply, origin: Origin) {
-        let now = Instant::now();
-        // A leader past its lease answers little; one that leads now, all.
-        let lapsed = self.leader.as_ref().is_some_and(|l| !l.valid(now));
-        let leads = self.leader.is_some() && !(lapsed && self.peers.leading(now).is_some());
-        let job = match &call {
-            PeerCall::Poll(id) | PeerCall::Withdraw(id) => JobId::parse(id),
-            PeerCall::Submit(_) | PeerCall::Report(_) | PeerCall::Lead => None,
-        };
-        // What is final stays so, whoever leads.
-        if let Some(status) = job.as_ref().and_then(|job| self.finals.get(job)) {
-            let _ = reply.send(Answer::new(200, &status.encode()));
-            return;
-        }
-        match (&call, job) {
-            (PeerCall::Submit(body), _) => {
-                let spec = match decode(body).and_then(|value| JobSpec::decode(&value)) {
-                    Ok(spec) => spec,
-                    Err(error) => {
-                        let _ = reply.send(refuse_malformed(&error));
-                        return;
-                    }
-                };
-                if let Some(status) = self.finals.get(&spec.id) {
-                    let _ = reply.send(Answer::new(200, &status.encode()));
-                } else if leads {
-                    let to = self.keep(reply, now);
-                    if let Some(leader) = &mut self.leader {
-                        leader.submit(now, wall_ms(), to, spec);
-                    }
-                } else {
-                    self.pass_on(call, reply, origin, None);
-                }
-            }
-            (PeerCall::Lead, _) => {
-                let epoch = self.leader.as_ref().filter(|l| l.valid(now)).map(Leader::epoch);
-                let answer = match epoch {
-                    Some(epoch) => Answer::new(200, &MapBuilder::new().set("epoch", epoch).build()),
-                    // Without a picture no worker gets a 200 from here, and a
-                    // picture comes only with a new epoch.
-                    None => {
-                        let free = self.leader.is_none();
-                        Answer::new(421, &MapBuilder::new().set("free", free).build())
-                    }
-                };
-                drop(reply.send(answer));
-            }
-            (PeerCall::Poll(_), Some(job)) => match self.leader.as_ref().filter(|_| leads) {
-                Some(leader) => match leader.poll(now, &job) {
-                    Some(status) => drop(reply.send(Answer::new(200, &status.encode()))),
-                    None => self.look_up(reply, job, Answer::refused(404, "no such job")),
-                },
-                None => self.pass_on(call, reply, origin, Some(job)),
-            },
-            (PeerCall::Withdraw(_), Some(job)) => {
-                if leads {
-                    let to = self.keep(reply, now);
-                    let known = self.leader.as_mut().is_some_and(|l| l.withdraw(now, to, &job));
-                    if !known && let Some((reply, _)) = self.waiting.remove(&to) {
-                        self.look_up_final(reply, job);
-                    }
-                } else {
-                    self.pass_on(call, reply, origin, None);
-                }
-            }
-            // Reports have a buffer of their own.
-            (PeerCall::Report(_), _) => drop(reply.send(Answer::refused(400, "a report"))),
-            (_, None) => drop(reply.send(Answer::refused(404, "no such job"))),
-        }
-    }
-
-    fn keep(&mut self, reply: Reply, now: Instant) -> ReplyTo {
-        self.next_reply += 1;
-        let to = ReplyTo(self.next_reply);
-        self.waiting.insert(to, (reply, now));
-        to
-    }
-
-    /// Hands a user's request to the leader, past a cut through another
-    /// controller if need be. A poll that it cannot answer is answered from the
-    /// record.
-    fn pass_on(&mut self, call: PeerCall, reply: Reply, origin: Origin, poll: Option<JobId>) {
-        let ways = self.ways(Instant::now(), origin);
-        if ways.is_empty() {
-            match poll {
-                Some(job) if origin == Origin::User => {
-                    self.look_up(reply, job, Answer::refused(404, "no such job"));
-                }
-                _ => drop(reply.send(Answer::later(503, "no leader at the moment", 1))),
-            }
-            return;
-        }
-        let (inner, unreached) = (self.inner.clone(), self.unreached.is_some());
-        let patience = POLL_PATIENCE / ways.len() as u32;
-        tokio::spawn(async move {
-            for (peer, link, relay) in ways {
-                let answer = link.call(call.clone(), relay, patience).await;
-                if let Some(PeerReply { status, body, retry_after_s }) = answer {
-                    let _ = reply.send(Answer { status, body, retry_after_s });
-                    if unreached {
-                        let _ = inner.send(Inner::LeaderReached(true)).await;
-                    }
-                    return;
-                }
-                let _ = inner.send(Inner::PeerSilent { peer }).await;
-            }
-            let _ = inner.send(Inner::LeaderReached(false)).await;
-            match poll.filter(|_| origin == Origin::User) {
-                Some(job) => drop(inner.send(Inner::Unanswered { reply, job }).await),
-                None => drop(reply.send(Answer::later(503, "the leader did not answer", 1))),
-            }
-        });
-    }
-
-    /// The ways to the leader, the best first, at most two. `true`: through a
-    /// controller that is to hand the call on.
-    fn ways(&self, now: Instant, origin: Origin) -> Vec<(String, PeerLink, bool)> {
-        let leader = self.other_leader(now).filter(|_| origin != Origin::Peer);
-        let Some((leader, _)) = leader else { return Vec::new() };
-        let mut names = Vec::new();
-        let reachable = self.peers.reachable(now, leader);
-        let relays = if origin == Origin::User { self.peers.relays(now, leader) } else { Vec::new() };
-        // Unless there is no other way, one that has just failed is not tried.
-        if reachable || relays.is_empty() {
-            names.push((leader.to_owned(), false));
-        }
-        names.extend(relays.into_iter().map(|name| (name, true)));
-        names.truncate(2);
-        let link = |(name, relay): (String, bool)| {
-            let link = self.links.get(&name)?.clone();
-            Some((name, link, relay))
-        };
-        names.into_iter().filter_map(link).collect()
-    }
-
-    /// Answers from the record: it alone decides what was ever accepted.
-    fn look_up(&mut self, reply: Reply, job: JobId, otherwise: Answer) {
-        self.read_record(reply, job, otherwise, false);
-    }
-
-    /// The same for what only a final standing answers.
-    fn look_up_final(&mut self, reply: Reply, job: JobId) {
-        self.read_record(reply, job, Answer::refused(404, "no such job"), true);
-    }
-
-    fn read_record(&mut self, reply: Reply, job: JobId, otherwise: Answer, only_final: bool) {
-        if self.lookups >= self.sizes.lookups {
-            let _ = reply.send(Answer::later(503, "too many requests at once", 1));
-            return;
-        }
-        self.lookups += 1;
-        let (store, inner) = (self.store.clone(), self.inner.clone());
-        tokio::spawn(async move {
-            let read = tokio::time::timeout(POLL_PATIENCE, store.get(Class::Settle, &record_key(&job))).await;
-            let (answer, final_status) = match read {
-                Ok(Ok(None)) => (otherwise, None),
-                Ok(Ok(Some(entry))) => match JobRecord::decode(&entry.value) {
-                    Ok(record) => {
-                        let status = record.status();
-                        let last = status.standing.is_final();
-                        let answer = if only_final && !last {
-                            Answer::later(503, "try again", 1)
-                        } else {
-                            Answer::new(200, &status.encode())
-                        };
-                        (answer, last.then_some(status))
-                    }
-                    Err(error) => {
-                        tracing::error!(%job, %error, "unreadable record");
-                        (Answer::later(503, "unreadable record", 5), None)
-                    }
-                },
-                _ => (Answer::later(503, "records cannot be read now", 1), None),
-            };
-            let _ = reply.send(answer);
-            let _ = inner.send(Inner::LookedUp { final_status }).await;
-        });
-    }
-
     fn carry_out(&mut self) {
         self.answer_held();
         let Some(leader) = &mut self.leader else { return };
@@ -908,13 +513,13 @@
         for action in leader.take_actions() {
             match action {
                 Action::Answer { to, answer } => {
-                    if let Some((reply, _)) = self.waiting.remove(&to) {
-                        let _ = reply.send(answer);
+                    if let Some(Waiting { reply, job, .. }) = self.waiting.remove(&to) {
+                        self.tell(reply, &job, answer);
                     }
                 }
                 Action::LookUp { to, job, otherwise } => {
-                    if let Some((reply, _)) = self.waiting.remove(&to) {
-                        self.look_up(reply, job, otherwise);
+                    if let Some(Waiting { reply, .. }) = self.waiting.remove(&to) {
+                        self.look_up(LookUp { reply, job, absent: otherwise, only_final: false });
                     }
                 }
                 Action::Commit { ticket, transaction } => {
@@ -951,30 +556,12 @@
                         let _ = inner.send(Inner::DirectDone).await;
                     });
                 }
-                Action::Over(status) => self.finals.insert(status),
+                Action::Over(status) => self.told.insert(status),
             }
         }
     }
 }
 
-/// Sends a worker to the leader, or, with nobody to name, to the next controller.
-fn elsewhere(leader: Option<&str>) -> Answer {
-    Answer::new(421, &report_elsewhere(leader))
-}
-
-/// The answer to a report that was held: a worker that is sent away tries the next
-/// controller by itself.
-fn held_answer(reply: ReportReply) -> Answer {
-    match reply {
-        ReportReply::Orders { token, orders } => Answer::new(200, &report_answer(token, &orders)),
-        ReportReply::Elsewhere => elsewhere(None),
-    }
-}
-
-fn refuse_malformed(error: &Malformed) -> Answer {
-    Answer::refused(400, &error.to_string())
-}
-
 fn wall_ms() -> u64 {
     #[cfg(test)]
     if let Some(simulated) = crate::transport::scripted::wall_ms() {
--- a/src/coordination/node/tests.rs
+++ b/src/coordination/node/tests.rs
@@ -1,6 +1,8 @@
 use super::*;
+use crate::protocol::jobs::Standing;
 use crate::storage::stand_in::{StandIn, store};
 use crate::transport::codec::Request;
+use crate::transport::peer::{LeaseNote, PeerHandler};
 
 fn request(method: &str, target: &str, body: &[u8]) -> Request {
     Request { method: method.into(), target: target.into(), body: body.to_vec(), close: false }
@@ -49,21 +51,16 @@
 
 #[tokio::test]
 async fn without_a_leader_submissions_are_refused_and_polls_answered_from_records() {
-    let (mut node, _inputs, _front) = rig().await;
+    let (mut node, mut inputs, _handle) = rig().await;
     let spec = crate::protocol::jobs::tests::sample("job-1", "red", 1, 1.0);
-    let ask = |node: &mut Node, call| {
-        let (reply, answer) = oneshot::channel();
-        node.take_user(call, reply, Origin::User);
-        answer
-    };
     let submit = PeerCall::Submit(encode(&spec.encode().build()));
-    let answer = ask(&mut node, submit).await.expect("answered");
+    let answer = ask(&mut node, &mut inputs, submit).await;
     assert_eq!((answer.status, answer.retry_after_s), (503, Some(1)));
-    let answer = ask(&mut node, PeerCall::Withdraw("job-1".into())).await.expect("answered");
+    let answer = ask(&mut node, &mut inputs, PeerCall::Withdraw("job-1".into())).await;
     assert_eq!(answer.status, 503);
-    let answer = ask(&mut node, PeerCall::Poll("job-1".into())).await.expect("answered");
+    let answer = ask(&mut node, &mut inputs, PeerCall::Poll("job-1".into())).await;
     assert_eq!(answer.status, 404, "the record is what decides it");
-    let answer = ask(&mut node, PeerCall::Submit(b"junk".to_vec())).await.expect("answered");
+    let answer = ask(&mut node, &mut inputs, PeerCall::Submit(b"junk".to_vec())).await;
     assert_eq!(answer.status, 400);
 }
 
@@ -334,3 +331,83 @@
     let body = decode(&answer.body).expect("CBOR");
     Fields::of(&body).expect("a map").text("standing").expect("a standing").to_owned()
 }
+
+/// A follower asked the leader, the answer was held up on the link, and meanwhile the
+/// final state was told from here: the held answer must not follow it.
+#[tokio::test]
+async fn a_forwarded_answer_that_was_overtaken_here_is_not_told() {
+    let (mut node, _inputs, _handle) = rig().await;
+    node.role = Role::Follows { leader: "c-1".into(), epoch: 7 };
+    let job = JobId::parse("job-1").expect("valid");
+    let status = |standing| JobStatus { id: job.clone(), standing, done: 0, running: 0 };
+    let lease = LeaseNote { epoch: 7, left: Duration::from_secs(3) };
+    let forwarded = |node: &mut Node, standing, lease| {
+        let (reply, answer) = oneshot::channel();
+        let call = PeerCall::Poll("job-1".into());
+        let request = UserRequest { call, job: job.clone(), reply, origin: Origin::User };
+        let body = encode(&status(standing).encode());
+        let answered = PeerReply { status: 200, body, retry_after_s: None, lease };
+        let peer = "c-1".to_owned();
+        node.forwarded(ForwardedReply { request, peer, asked: Instant::now(), answer: answered });
+        answer
+    };
+    let first = forwarded(&mut node, Standing::Running, Some(lease)).await.expect("answered");
+    assert_eq!(standing_of(&first), "running");
+    let stale = LeaseNote { epoch: 6, ..lease };
+    let refused = forwarded(&mut node, Standing::Running, Some(stale)).await.expect("answered");
+    assert_eq!(refused.status, 503, "of an epoch that is over");
+    let last = forwarded(&mut node, Standing::Cancelled, None).await.expect("answered");
+    assert_eq!(standing_of(&last), "cancelled");
+    let overtaken = forwarded(&mut node, Standing::Running, Some(lease)).await.expect("answered");
+    assert_eq!(standing_of(&overtaken), "cancelled");
+    // So with a record that was read before.
+    let (reply, answer) = oneshot::channel();
+    let absent = Answer::refused(404, "no such job");
+    let look_up = LookUp { reply, job: job.clone(), absent, only_final: false };
+    node.lookups += 1;
+    node.looked_up(look_up, Instant::now(), RecordRead::Found(status(Standing::Queued)));
+    assert_eq!(standing_of(&answer.await.expect("answered")), "cancelled");
+    // And with a cancellation that another controller answers with something else.
+    let (reply, answer) = oneshot::channel();
+    let other = JobId::parse("job-2").expect("valid");
+    let call = PeerCall::Withdraw("job-2".into());
+    let request = UserRequest { call, job: other.clone(), reply, origin: Origin::User };
+    let queued = JobStatus { id: other, standing: Standing::Queued, done: 0, running: 0 };
+    let answered =
+        PeerReply { status: 200, body: encode(&queued.encode()), retry_after_s: None, lease: Some(lease) };
+    node.forwarded(ForwardedReply { request, peer: "c-1".into(), asked: Instant::now(), answer: answered });
+    assert_eq!(answer.await.expect("answered").status, 503);
+}
+
+/// The actor decides under its lease, and the process stands still before the answer
+/// leaves: the last step, to users and to other controllers, looks at the lease again.
+#[tokio::test(start_paused = true)]
+async fn an_answer_held_up_past_its_lease_does_not_leave() {
+    let (_node, mut inputs, handle) = rig().await;
+    let job = JobId::parse("job-1").expect("valid");
+    for (standing, held_up, status) in
+        [(Standing::Running, false, 200), (Standing::Running, true, 503), (Standing::Done, true, 200)]
+    {
+        let basis = Basis { epoch: 7, until: Instant::now() + Duration::from_secs(1) };
+        let told = JobStatus { id: job.clone(), standing, done: 0, running: 0 };
+        let to_user = handle.clone();
+        let user = tokio::spawn(async move {
+            crate::transport::server::Handler::handle(&to_user, request("GET", "/api/jobs/job-1", b"")).await
+        });
+        let to_peer = handle.clone();
+        let peer = tokio::spawn(async move {
+            PeerHandler::handle(&to_peer, PeerCall::Poll("job-1".into()), false).await
+        });
+        for _ in 0..2 {
+            let Some(UserMessage::Call { reply, .. }) = inputs.users.recv().await else {
+                panic!("no request")
+            };
+            assert!(reply.send(Answer::state(200, told.clone(), basis)).is_ok());
+        }
+        if held_up {
+            tokio::time::advance(Duration::from_secs(2)).await;
+        }
+        assert_eq!(user.await.expect("answered").status, status, "{standing:?}");
+        assert_eq!(peer.await.expect("answered").status, status, "{standing:?}");
+    }
+}
--- /dev/null
+++ b/src/coordination/node/user_requests.rs
@@ -0,0 +1,291 @@
+//! Users' requests: answered by the leader's picture, handed on to the controller that
+//! leads, or answered from the record. Whatever way an answer came, it passes through
+//! [`Node::tell`].
+
+use super::*;
+
+/// A user's request about one job.
+pub(super) struct UserRequest {
+    pub(super) call: PeerCall,
+    pub(super) job: JobId,
+    pub(super) reply: Reply,
+    pub(super) origin: Origin,
+}
+
+/// A request that waits for an answer of the leader's state machine.
+pub(super) struct Waiting {
+    pub(super) reply: Reply,
+    pub(super) job: JobId,
+    pub(super) since: Instant,
+}
+
+/// What reading a job's record came to.
+pub(super) enum RecordRead {
+    Absent,
+    Found(JobStatus),
+    Unreadable,
+    Unavailable,
+}
+
+/// A read of a job's record for a user.
+pub(super) struct LookUp {
+    pub(super) reply: Reply,
+    pub(super) job: JobId,
+    /// The answer if there is no record.
+    pub(super) absent: Answer,
+    /// Only a final state answers the request.
+    pub(super) only_final: bool,
+}
+
+/// A reply of another controller to a request that was handed on to it.
+pub(super) struct ForwardedReply {
+    pub(super) request: UserRequest,
+    pub(super) peer: String,
+    /// When the request was handed on.
+    pub(super) asked: Instant,
+    pub(super) answer: PeerReply,
+}
+
+impl Node {
+    pub(super) fn take_user(&mut self, call: PeerCall, reply: Reply, origin: Origin) {
+        let now = Instant::now();
+        let job = match &call {
+            PeerCall::Poll(id) | PeerCall::Withdraw(id) => JobId::parse(id),
+            PeerCall::Submit(body) => {
+                let spec = decode(body).and_then(|value| JobSpec::decode(&value));
+                let spec = match spec {
+                    Ok(spec) => spec,
+                    Err(error) => return drop(reply.send(refuse_malformed(&error))),
+                };
+                return self.take_submission(now, spec, call, reply, origin);
+            }
+            PeerCall::Lead => return drop(reply.send(self.leading(now))),
+            // Reports have a buffer of their own.
+            PeerCall::Report(_) => return drop(reply.send(Answer::refused(400, "a report"))),
+        };
+        let Some(job) = job else {
+            return drop(reply.send(Answer::refused(404, "no such job")));
+        };
+        // What is final stays so, whoever leads.
+        if let Some(status) = self.told.get(&job) {
+            return drop(reply.send(Answer::final_state(status.clone())));
+        }
+        let request = UserRequest { call, job, reply, origin };
+        match request.call {
+            _ if !self.leads(now) => self.pass_on(request),
+            PeerCall::Withdraw(_) => self.withdraw(now, request),
+            _ => self.poll(now, request),
+        }
+    }
+
+    fn take_submission(&mut self, now: Instant, spec: JobSpec, call: PeerCall, reply: Reply, origin: Origin) {
+        let job = spec.id.clone();
+        if let Some(status) = self.told.get(&job) {
+            return drop(reply.send(Answer::final_state(status.clone())));
+        }
+        if !self.leads(now) {
+            return self.pass_on(UserRequest { call, job, reply, origin });
+        }
+        let to = self.keep(reply, job, now);
+        if let Some(leader) = &mut self.leader {
+            leader.submit(now, wall_ms(), to, spec);
+        }
+    }
+
+    /// Whether users' requests go to the state machine here. A leader past its lease
+    /// answers little; one that leads now, all.
+    fn leads(&self, now: Instant) -> bool {
+        let lapsed = self.leader.as_ref().is_some_and(|l| !l.valid(now));
+        self.leader.is_some() && !(lapsed && self.peers.leading(now).is_some())
+    }
+
+    /// Says to another controller whether this one leads.
+    fn leading(&self, now: Instant) -> Answer {
+        match self.leader.as_ref().filter(|l| l.valid(now)).map(Leader::epoch) {
+            Some(epoch) => Answer::new(200, &MapBuilder::new().set("epoch", epoch).build()),
+            // Without a picture no worker gets a 200 from here, and a picture comes
+            // only with a new epoch.
+            None => Answer::new(421, &MapBuilder::new().set("free", self.leader.is_none()).build()),
+        }
+    }
+
+    fn poll(&mut self, now: Instant, request: UserRequest) {
+        let UserRequest { job, reply, .. } = request;
+        match self.leader.as_ref().and_then(|leader| leader.poll(now, &job)) {
+            Some(answer) => self.tell(reply, &job, answer),
+            None => self.look_up_or_refuse(reply, job),
+        }
+    }
+
+    fn withdraw(&mut self, now: Instant, request: UserRequest) {
+        let UserRequest { job, reply, .. } = request;
+        let to = self.keep(reply, job.clone(), now);
+        let known = self.leader.as_mut().is_some_and(|l| l.withdraw(now, to, &job));
+        if !known && let Some(Waiting { reply, job, .. }) = self.waiting.remove(&to) {
+            let absent = Answer::refused(404, "no such job");
+            self.look_up(LookUp { reply, job, absent, only_final: true });
+        }
+    }
+
+    fn keep(&mut self, reply: Reply, job: JobId, now: Instant) -> ReplyTo {
+        self.next_reply += 1;
+        let to = ReplyTo(self.next_reply);
+        self.waiting.insert(to, Waiting { reply, job, since: now });
+        to
+    }
+
+    /// The one place through which every answer about a job goes: a final state that
+    /// was told before, or learnt from a record, wins over whatever was decided since
+    /// the request came.
+    pub(super) fn tell(&mut self, reply: Reply, job: &JobId, answer: Answer) {
+        let _ = reply.send(self.told.settle(job, answer));
+    }
+
+    /// Hands a user's request to the leader, past a cut through another controller if
+    /// need be. A poll that it cannot answer is answered from the record.
+    fn pass_on(&mut self, request: UserRequest) {
+        let ways = self.ways(Instant::now(), request.origin);
+        if ways.is_empty() {
+            return self.without_leader(request, "no leader at the moment");
+        }
+        let (inner, unreached) = (self.inner.clone(), self.unreached.is_some());
+        let patience = POLL_PATIENCE / ways.len() as u32;
+        tokio::spawn(async move {
+            for (peer, link, relay) in ways {
+                let asked = Instant::now();
+                if let Some(answer) = link.call(request.call.clone(), relay, patience).await {
+                    let reply = ForwardedReply { request, peer, asked, answer };
+                    let _ = inner.send(Inner::Forwarded(Box::new(reply))).await;
+                    if unreached {
+                        let _ = inner.send(Inner::LeaderReached(true)).await;
+                    }
+                    return;
+                }
+                let _ = inner.send(Inner::PeerSilent { peer }).await;
+            }
+            let _ = inner.send(Inner::LeaderReached(false)).await;
+            let _ = inner.send(Inner::Unanswered(request)).await;
+        });
+    }
+
+    /// No way led to the leader: a poll of a user is answered from the record.
+    pub(super) fn without_leader(&mut self, request: UserRequest, reason: &str) {
+        let UserRequest { call, job, reply, origin } = request;
+        match call {
+            PeerCall::Poll(_) if origin == Origin::User => self.look_up_or_refuse(reply, job),
+            _ => self.tell(reply, &job, Answer::later(503, reason, 1)),
+        }
+    }
+
+    /// Another controller's reply, as far as it may be told.
+    pub(super) fn forwarded(&mut self, forwarded: ForwardedReply) {
+        let ForwardedReply { request, peer, asked, answer } = forwarded;
+        let UserRequest { call, job, reply, .. } = request;
+        let usable = answers::forwarded(answer, &job, asked, asked + PATIENCE, self.newest_epoch());
+        let withdraws = matches!(call, PeerCall::Withdraw(_));
+        let usable = usable.and_then(|answer| match withdraws && answer.basis.is_some() {
+            true => Err(UnusableReply::NotFinal),
+            false => Ok(answer),
+        });
+        let answer = usable.unwrap_or_else(|error| {
+            tracing::error!(%job, %peer, %error, "another controller's reply is not passed on");
+            Answer::later(503, "try again", 1)
+        });
+        self.tell(reply, &job, answer);
+    }
+
+    /// The highest epoch that this controller has heard of.
+    fn newest_epoch(&self) -> u64 {
+        let by_role = match &self.role {
+            Role::Follows { epoch, .. } | Role::Leads { epoch, .. } => *epoch,
+            Role::Leaderless => 0,
+        };
+        by_role.max(self.peers.leading(Instant::now()).map_or(0, |(_, epoch)| epoch))
+    }
+
+    /// The ways to the leader, the best first, at most two. `true`: through a
+    /// controller that is to hand the call on.
+    pub(super) fn ways(&self, now: Instant, origin: Origin) -> Vec<(String, PeerLink, bool)> {
+        let leader = self.other_leader(now).filter(|_| origin != Origin::Peer);
+        let Some((leader, _)) = leader else { return Vec::new() };
+        let mut names = Vec::new();
+        let reachable = self.peers.reachable(now, leader);
+        let relays = if origin == Origin::User { self.peers.relays(now, leader) } else { Vec::new() };
+        // Unless there is no other way, one that has just failed is not tried.
+        if reachable || relays.is_empty() {
+            names.push((leader.to_owned(), false));
+        }
+        names.extend(relays.into_iter().map(|name| (name, true)));
+        names.truncate(2);
+        let link = |(name, relay): (String, bool)| {
+            let link = self.links.get(&name)?.clone();
+            Some((name, link, relay))
+        };
+        names.into_iter().filter_map(link).collect()
+    }
+
+    /// Answers from the record, which alone decides what was ever accepted.
+    fn look_up_or_refuse(&mut self, reply: Reply, job: JobId) {
+        let absent = Answer::refused(404, "no such job");
+        self.look_up(LookUp { reply, job, absent, only_final: false });
+    }
+
+    pub(super) fn look_up(&mut self, look_up: LookUp) {
+        if self.lookups >= self.sizes.lookups {
+            let busy = Answer::later(503, "too many requests at once", 1);
+            return self.tell(look_up.reply, &look_up.job, busy);
+        }
+        self.lookups += 1;
+        let (store, inner) = (self.store.clone(), self.inner.clone());
+        tokio::spawn(async move {
+            let started = Instant::now();
+            let read = read_record(&store, &look_up.job).await;
+            let _ = inner.send(Inner::LookedUp { look_up, started, read }).await;
+        });
+    }
+
+    /// A record was read. One that is final tells all. Beside one that is not, the
+    /// leader's picture may have become final since, and knows what runs.
+    pub(super) fn looked_up(&mut self, look_up: LookUp, started: Instant, read: RecordRead) {
+        self.lookups -= 1;
+        let LookUp { reply, job, absent, only_final } = look_up;
+        let answer = match read {
+            RecordRead::Absent => absent,
+            RecordRead::Unreadable => Answer::later(503, "unreadable record", 5),
+            RecordRead::Unavailable => Answer::later(503, "records cannot be read now", 1),
+            RecordRead::Found(status) if status.standing.is_final() => Answer::final_state(status),
+            RecordRead::Found(_) if only_final => Answer::later(503, "try again", 1),
+            RecordRead::Found(status) => {
+                let leader = self.leader.as_ref();
+                let picture = leader.and_then(|l| l.beside_live_record(Instant::now(), &job));
+                let basis = Basis { epoch: 0, until: started + POLL_PATIENCE };
+                picture.unwrap_or_else(|| Answer::state(200, status, basis))
+            }
+        };
+        self.tell(reply, &job, answer);
+    }
+}
+
+async fn read_record(store: &Store, job: &JobId) -> RecordRead {
+    let key = record_key(job);
+    let read = tokio::time::timeout(POLL_PATIENCE, store.get(Class::Settle, &key)).await;
+    match read {
+        Ok(Ok(None)) => RecordRead::Absent,
+        Ok(Ok(Some(entry))) => match JobRecord::decode(&entry.value) {
+            Ok(record) if record.spec.id == *job => RecordRead::Found(record.status()),
+            Ok(_) => {
+                tracing::error!(%job, "a record of another job");
+                RecordRead::Unreadable
+            }
+            Err(error) => {
+                tracing::error!(%job, %error, "unreadable record");
+                RecordRead::Unreadable
+            }
+        },
+        _ => RecordRead::Unavailable,
+    }
+}
+
+fn refuse_malformed(error: &Malformed) -> Answer {
+    Answer::refused(400, &error.to_string())
+}
--- a/src/coordination/tests/mod.rs
+++ b/src/coordination/tests/mod.rs
@@ -3,6 +3,7 @@
 
 mod cancellation;
 mod lease;
+mod monotonic_answers;
 mod overlapping_faults;
 mod placing;
 mod records;
@@ -18,8 +19,9 @@
 use tokio::time::Instant;
 
 use super::agents::ReportReply;
+use super::answers::Answer;
 use super::cloud::{CloudCall, CloudError, CloudReply};
-use super::leader::{Action, Answer, Config, Leader, Loaded, LoadedJob};
+use super::leader::{Action, Config, Leader, Loaded, LoadedJob};
 use super::model::ReplyTo;
 use crate::policy;
 use crate::protocol::cbor::{Fields, decode};
@@ -257,7 +259,7 @@
     }
 
     fn standing(&self, job: &str) -> Option<Standing> {
-        self.leader.poll(self.now, &id(job)).map(|s| s.standing)
+        self.leader.poll(self.now, &id(job)).and_then(|answer| answer.told).map(|told| told.standing)
     }
 }
 
--- /dev/null
+++ b/src/coordination/tests/monotonic_answers.rs
@@ -0,0 +1,79 @@
+//! What users are told never goes back: once any controller has said that a job is done
+//! or cancelled, none says anything else. A search over random sequences of faults, with
+//! users that ask all controllers about all jobs, also long after these are over.
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use super::sequences::{in_simulated_time, number};
+use super::simulation::{Fault, Shape, Simulation};
+
+/// How many seeds are played; a longer search sets this variable.
+const SEEDS: &str = "SHEDTALLY_ANSWER_SEEDS";
+/// The first of them.
+const FIRST: &str = "SHEDTALLY_FIRST_ANSWER_SEED";
+
+/// Faults end by then.
+const CALM: f64 = 45.0;
+const END: f64 = 75.0;
+
+/// Faults that part what one controller knows from what others do, on top of each other.
+fn random_faults(seed: u64, controllers: usize) -> Vec<(f64, Fault)> {
+    let mut r = SmallRng::seed_from_u64(seed ^ 0xa115);
+    (0..r.random_range(4..14))
+        .map(|_| {
+            let at = r.random_range(8.0..38.0);
+            let back = [0.1, 0.4, 3.0][r.random_range(0..3)];
+            let (share, lasts) = (r.random_range(0.1..0.7), r.random_range(0.3..18.0));
+            let peers = r.random_bool(0.5);
+            let controller = r.random_bool(0.3).then(|| r.random_range(0..controllers));
+            let fault = match r.random_range(0..20) {
+                0 => Fault::Crash { controller, back },
+                1 => Fault::CrashAll { back },
+                2 => Fault::Outage { lasts: lasts / 2.0 },
+                3 => Fault::Refused { lasts, peers },
+                4 | 5 => Fault::Cut { lasts, peers },
+                6 => Fault::LateWrites { share, lasts },
+                7..=9 => Fault::LostAnswers { share, lasts },
+                10 => Fault::DoubledWrites { share, lasts },
+                11 | 12 => Fault::SlowAnswers { share, lasts },
+                13 => Fault::LateRequests { share, lasts },
+                14 | 15 => Fault::PeersRefuse { lasts },
+                16 | 17 => Fault::Stall { controller, lasts: r.random_range(0.2..6.0) },
+                18 => Fault::CancelNow { count: r.random_range(1..8), hang: 0.0 },
+                _ => Fault::CancelAtEnd { share, lasts },
+            };
+            (at, fault)
+        })
+        .collect()
+}
+
+fn shape(seed: u64) -> Shape {
+    let controllers = if seed.is_multiple_of(2) { 5 } else { 3 };
+    let shape = if seed % 8 < 2 { Shape::crowded(controllers) } else { Shape::busy(controllers) };
+    Shape { ..shape }
+}
+
+/// A seed that breaks a rule is printed, with its faults, and breaks it again.
+#[test]
+fn no_answer_goes_back_in_random_sequences() {
+    let first = number(FIRST, 1);
+    let (mut broken, mut repeated, mut overtaken) = (Vec::new(), 0, 0);
+    for seed in first..first + number(SEEDS, 24) {
+        let shape = shape(seed);
+        let faults = random_faults(seed, shape.controllers);
+        let simulation = in_simulated_time(async {
+            let mut simulation = Simulation::shaped(seed, shape, faults.clone(), CALM);
+            simulation.run(END).await;
+            simulation
+        });
+        repeated += simulation.repeated_answers;
+        overtaken += simulation.overtaken;
+        if !simulation.broken.is_empty() {
+            broken.push(format!("seed {seed}: {:#?}\n{faults:#?}", simulation.broken));
+        }
+    }
+    println!("{repeated} answers after a final state, {overtaken} of them overtaken by another controller's");
+    assert!(broken.is_empty(), "{} seeds: {}", broken.len(), broken.join("\n"));
+    assert!(repeated > 1000, "hardly anybody asked: {repeated}");
+}
--- a/src/coordination/tests/sequences.rs
+++ b/src/coordination/tests/sequences.rs
@@ -4,7 +4,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use super::simulation::{Fault, Question, Simulation};
+use super::simulation::{Fault, Origin, Question, Simulation};
 use super::*;
 use crate::protocol::cbor::{MapBuilder, encode};
 use crate::transport::codec::Response;
@@ -17,7 +17,7 @@
 const CALM: f64 = 170.0;
 const END: f64 = 330.0;
 
-fn number(variable: &str, otherwise: u64) -> u64 {
+pub fn number(variable: &str, otherwise: u64) -> u64 {
     std::env::var(variable).ok().and_then(|text| text.parse().ok()).unwrap_or(otherwise)
 }
 
@@ -120,12 +120,17 @@
     assert!(broken.iter().any(|b| b.starts_with(rule)), "{rule} is not caught: {broken:?}");
 }
 
+/// An answer of the first controller to a request sent then.
+fn sent(at: Instant, order: u64) -> Origin {
+    Origin { sent: at, process: (0, 1), order }
+}
+
 fn submitted(simulation: &mut Simulation, change: impl FnOnce(&mut JobSpec)) -> Instant {
     let now = Instant::now();
     let mut spec = sample("job-1", "red", 4, 4.0);
     change(&mut spec);
     simulation.submit(now, spec, 10.0, None);
-    simulation.note_answer(now, "job-1", now, 201, Some("queued"), false);
+    simulation.note_answer(now, "job-1", sent(now, 0), 201, Some("queued"), false);
     now
 }
 
@@ -167,9 +172,9 @@
     let cancelled = |simulation: &mut Simulation| {
         let now = Instant::now();
         simulation.submit(now, sample("job-1", "red", 1, 1.0), 10.0, Some(now));
-        simulation.note_answer(now, "job-1", now, 201, Some("queued"), false);
+        simulation.note_answer(now, "job-1", sent(now, 0), 201, Some("queued"), false);
         let name = simulation.place_wrongly("job-1", 0, "z1", false);
-        simulation.note_answer(now, "job-1", now, 200, Some("cancelled"), true);
+        simulation.note_answer(now, "job-1", sent(now, 0), 200, Some("cancelled"), true);
         (now, name)
     };
     caught("ran_cancelled", |simulation| {
@@ -196,9 +201,9 @@
     let told = |rule: &str, first: &'static str, status: u16, standing: Option<&'static str>| {
         caught(rule, |simulation| {
             let now = submitted(simulation, |_| {});
-            simulation.note_answer(now, "job-1", now, 200, Some(first), false);
+            simulation.note_answer(now, "job-1", sent(now, 0), 200, Some(first), false);
             simulation.broken.clear();
-            simulation.note_answer(now + SOON * 2, "job-1", now + SOON, status, standing, false);
+            simulation.note_answer(now + SOON * 2, "job-1", sent(now + SOON, 1), status, standing, false);
         });
     };
     told("forgotten", "queued", 404, None);
@@ -207,10 +212,28 @@
     told("went_back", "done", 200, Some("running"));
     told("went_back", "cancelled", 200, Some("queued"));
     told("went_back", "queued", 200, Some("cancelled"));
+    // Asked before the final state was told, and answered after it: wrong only of the
+    // process that had told it, since another cannot know.
+    for (process, overtaken) in [((0, 1), 0), ((0, 2), 1), ((1, 1), 1)] {
+        let simulation = in_simulated_time(async {
+            let mut simulation = Simulation::new(1, 3, Vec::new(), 0.0);
+            let now = submitted(&mut simulation, |_| {});
+            let last = sent(now + SOON, 1);
+            simulation.note_answer(now + SOON * 2, "job-1", last, 200, Some("cancelled"), false);
+            simulation.broken.clear();
+            let earlier = Origin { process, order: 2, ..sent(now, 2) };
+            simulation.note_answer(now + SOON * 3, "job-1", earlier, 200, Some("queued"), false);
+            simulation
+        });
+        assert_eq!(simulation.broken.len(), 1 - overtaken, "{:?}", simulation.broken);
+        assert_eq!(simulation.overtaken, overtaken);
+    }
     let odd = |question, status| {
         let body = encode(&MapBuilder::new().set("standing", "queued").build());
         let answer = Response { status, body, retry_after_s: None, close: false };
-        move |simulation: &mut Simulation| simulation.answered("odd", question, Instant::now(), Some(answer))
+        move |simulation: &mut Simulation| {
+            simulation.answered("odd", question, sent(Instant::now(), 0), Some(answer), false);
+        }
     };
     caught("invented", odd(Question::Unknown, 200));
     caught("accepted_odd", odd(Question::Odd(400), 201));
--- a/src/coordination/tests/simulation/controllers.rs
+++ b/src/coordination/tests/simulation/controllers.rs
@@ -9,6 +9,7 @@
         let c = &mut self.controllers[at];
         c.incarnation += 1;
         c.back_at = None;
+        c.stalls = stalls::Stalls::new(now);
         let port = 1000 + c.incarnation;
         let here = |kind: u8, other: usize| SocketAddr::from(([127, kind, at as u8, other as u8], port));
         let mut settings = self.settings.clone();
@@ -31,10 +32,11 @@
         let (roles_in, roles) = mpsc::channel(16);
         let (abandoned, given_up) = watch::channel(0);
         let address = settings.peer_listen.to_string();
-        let running = tokio::spawn(election::run(election, store.clone(), address, roles_in, given_up));
+        let electing = election::run(election, store.clone(), address, roles_in, given_up);
+        let running = tokio::spawn(c.stalls.clone().run(electing));
         let config = Arc::new(Config { settings, tuning });
         let (node, inputs, handle) = Node::new(config, store, cloud, leads, term, abandoned, roles);
-        let acting = tokio::spawn(node.run(inputs));
+        let acting = tokio::spawn(c.stalls.clone().run(node.run(inputs)));
         c.tasks = vec![running.abort_handle(), acting.abort_handle()];
         c.handle = Some(handle);
     }
@@ -43,6 +45,8 @@
         let c = &mut self.controllers[at];
         c.tasks.drain(..).for_each(|task| task.abort());
         c.handle = None;
+        // Nothing of the dead process ever goes on, nor answers anybody.
+        c.stalls.begin(Instant::now() + LONG_AFTER);
         c.back_at = Some(Instant::now() + seconds(back));
     }
 
@@ -62,8 +66,26 @@
 
     // The network.
 
+    /// Which controller sends it; none for orders to workers.
+    fn sender(&self, ask: &Ask) -> Option<usize> {
+        let (Ask::Peer { to, .. } | Ask::Http { to, .. }) = ask;
+        let SocketAddr::V4(v4) = to else { return None };
+        let [_, kind, from, _] = v4.ip().octets();
+        (kind != 9).then_some(usize::from(from))
+    }
+
+    /// How much longer an answer takes than it should.
+    pub(super) fn slowness(&mut self, now: Instant) -> Duration {
+        let (share, until) = self.slow_answers;
+        let slow = now < until && self.rng.random_bool(share);
+        if slow { seconds(self.rng.random_range(0.05..1.2)) } else { Duration::ZERO }
+    }
+
     pub(super) fn ask(&mut self, ask: Ask) {
         let now = Instant::now();
+        if let Some(until) = self.sender(&ask).map(|at| self.stalled_until(at)).filter(|until| now < *until) {
+            return self.held_asks.push((until, ask));
+        }
         match ask {
             Ask::Peer { to, call, relay, reply } => {
                 let SocketAddr::V4(v4) = to else { return };
@@ -71,12 +93,21 @@
                 let (from, other) = (usize::from(from), usize::from(other));
                 let alive = self.controllers[from].incarnation + 1000 == to.port();
                 let apart = |c: &Controller| now < c.alone_until;
+                if now < self.peers_refuse_until {
+                    return;
+                }
                 if !alive || apart(&self.controllers[from]) || apart(&self.controllers[other]) {
                     return;
                 }
                 let Some(handle) = self.controllers[other].handle.clone() else { return };
+                let (asked, asking) =
+                    (self.controllers[other].stalls.clone(), self.controllers[from].stalls.clone());
+                let slow = self.slowness(now);
                 self.events.spawn(async move {
-                    let answered = PeerHandler::handle(&handle, call, relay).await;
+                    let handled = PeerHandler::handle(&handle, call, relay);
+                    let answered = asked.run(handled).await;
+                    tokio::time::sleep(slow).await;
+                    asking.run(std::future::ready(())).await;
                     let _ = reply.send(answered);
                     Event::Nothing
                 });
--- a/src/coordination/tests/simulation/faults.rs
+++ b/src/coordination/tests/simulation/faults.rs
@@ -64,6 +64,35 @@
     Burst {
         jobs: usize,
     },
+    /// Transactions and reads are carried out at once; their answers are lost.
+    LostAnswers {
+        share: f64,
+        lasts: f64,
+    },
+    /// Transactions are carried out at once, and once more later.
+    DoubledWrites {
+        share: f64,
+        lasts: f64,
+    },
+    /// Answers of the state service and of other controllers take longer.
+    SlowAnswers {
+        share: f64,
+        lasts: f64,
+    },
+    /// Copies of users' requests arrive again later, at any controller.
+    LateRequests {
+        share: f64,
+        lasts: f64,
+    },
+    /// No controller reaches another.
+    PeersRefuse {
+        lasts: f64,
+    },
+    /// A controller stands still while its clocks run on.
+    Stall {
+        controller: Option<usize>,
+        lasts: f64,
+    },
     /// The zone with workers and one controller in it is cut off from everything.
     ZoneCut {
         lasts: f64,
@@ -118,6 +147,17 @@
             }
             Fault::CloudDown { lasts } => self.cloud_down_until = until(lasts),
             Fault::LateWrites { share, lasts } => self.late_writes = (share, until(lasts)),
+            Fault::LostAnswers { share, lasts } => self.lost_answers = (share, until(lasts)),
+            Fault::DoubledWrites { share, lasts } => self.doubled_writes = (share, until(lasts)),
+            Fault::SlowAnswers { share, lasts } => self.slow_answers = (share, until(lasts)),
+            Fault::LateRequests { share, lasts } => self.late_requests = (share, until(lasts)),
+            Fault::PeersRefuse { lasts } => self.peers_refuse_until = until(lasts),
+            Fault::Stall { controller, lasts } => {
+                let c = &self.controllers[controller.unwrap_or(lead)];
+                if c.handle.is_some() {
+                    c.stalls.begin(until(lasts));
+                }
+            }
             Fault::LateReports { share, lasts } => self.late_reports = (share, until(lasts)),
             Fault::CancelAtEnd { share, lasts } => self.cancel_at_end = (share, until(lasts)),
             Fault::CancelNow { count, hang } => {
--- a/src/coordination/tests/simulation/mod.rs
+++ b/src/coordination/tests/simulation/mod.rs
@@ -8,6 +8,7 @@
 mod controllers;
 mod faults;
 mod rules;
+mod stalls;
 mod state_service;
 mod users;
 mod workers;
@@ -15,6 +16,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use ciborium::value::Value;
@@ -46,6 +48,8 @@
 pub use faults::Fault;
 
 const STEP: Duration = Duration::from_millis(100);
+/// Later than any simulation lasts.
+const LONG_AFTER: Duration = Duration::from_secs(24 * 3600);
 const LAG: Duration = Duration::from_secs(4);
 
 fn seconds(s: f64) -> Duration {
@@ -60,6 +64,8 @@
     refused_until: Instant,
     cut_until: Instant,
     alone_until: Instant,
+    /// Until when it stands still: none of its code runs, its clocks do.
+    stalls: stalls::Stalls,
 }
 
 type TaskKey = (String, u32);
@@ -103,6 +109,29 @@
     empty_since: Instant,
 }
 
+/// One process of a controller: its place in the cluster and its incarnation.
+pub type Process = (usize, u16);
+
+/// A final state as a user first heard it.
+#[derive(Debug)]
+struct Told {
+    standing: &'static str,
+    at: Instant,
+    /// Which processes have said so, and their first answer's number in the order
+    /// in which answers were sent.
+    by: BTreeMap<Process, u64>,
+}
+
+/// When and by whom an answer was sent.
+#[derive(Debug, Clone, Copy)]
+pub struct Origin {
+    /// The sending of the request.
+    pub sent: Instant,
+    pub process: Process,
+    /// The answer's number in the order in which answers were sent.
+    pub order: u64,
+}
+
 #[derive(Debug)]
 struct Job {
     spec: JobSpec,
@@ -112,7 +141,7 @@
     given_up: bool,
     cancel_from: Option<Instant>,
     cancelled: Option<Instant>,
-    told: Option<(&'static str, Instant)>,
+    told: Option<Told>,
     answered: Instant,
     next: Instant,
     in_flight: bool,
@@ -134,7 +163,7 @@
 
 enum Event {
     Reported { machine: String, session: u64, sent: Instant, answer: Option<Response> },
-    Answered { job: String, question: Question, sent: Instant, answer: Option<Response> },
+    Answered { job: String, question: Question, origin: Origin, answer: Option<Response>, look: bool },
     Nothing,
 }
 
@@ -147,6 +176,65 @@
     reply: oneshot::Sender<Result<Response, ClientError>>,
 }
 
+/// How large a simulated cluster is, and how busy.
+#[derive(Debug, Clone, Copy)]
+pub struct Shape {
+    pub controllers: usize,
+    /// Mean pause between two submissions, in seconds.
+    pub job_every: f64,
+    /// Longest run time of a task, in seconds.
+    pub longest_run: f64,
+    /// Tasks of the largest arrays.
+    pub most_tasks: u32,
+    /// Requests a second that users send beside those that they need.
+    pub looks: f64,
+    /// Changes a second of the state service.
+    pub writes: f64,
+    /// Largest value of the state service; small ones split done tasks into blocks.
+    pub value_kb: f64,
+    /// Bounds the final states that a controller remembers.
+    pub memory_mb: f64,
+    /// Most keys in one page of the state service.
+    pub page: usize,
+}
+
+impl Shape {
+    pub fn usual(controllers: usize) -> Self {
+        Shape {
+            controllers,
+            job_every: 4.0,
+            longest_run: 25.0,
+            most_tasks: 6,
+            looks: 1.0,
+            writes: 80.0,
+            value_kb: settings::tests::sample().cluster.state.value_kb,
+            memory_mb: settings::tests::sample().cluster.limits.memory_mb,
+            page: 1000,
+        }
+    }
+
+    /// Tens of small jobs, and users that ask a lot.
+    pub fn busy(controllers: usize) -> Self {
+        Shape { job_every: 1.0, longest_run: 8.0, looks: 20.0, ..Shape::usual(controllers) }
+    }
+
+    /// Hundreds of small jobs, some of several blocks, more rows than a page holds
+    /// and more final states than are remembered.
+    pub fn crowded(controllers: usize) -> Self {
+        Shape {
+            job_every: 0.25,
+            longest_run: 6.0,
+            most_tasks: 16,
+            looks: 20.0,
+            writes: 240.0,
+            value_kb: 0.002,
+            memory_mb: 8.0,
+            page: 7,
+            ..Shape::usual(controllers)
+        }
+    }
+}
+
 pub struct Simulation {
     rng: SmallRng,
     begin: Instant,
@@ -157,6 +245,13 @@
     renewed: BTreeMap<u64, Instant>,
     outage_until: Instant,
     late_writes: (f64, Instant),
+    lost_answers: (f64, Instant),
+    doubled_writes: (f64, Instant),
+    slow_answers: (f64, Instant),
+    late_requests: (f64, Instant),
+    peers_refuse_until: Instant,
+    /// What controllers that stand still have sent, as far as it has not left yet.
+    held_asks: Vec<(Instant, Ask)>,
     late: Vec<(Instant, Request)>,
     watches: Vec<Watch>,
     cloud_down_until: Instant,
@@ -168,7 +263,9 @@
     cancel_at_end: (f64, Instant),
     jobs: BTreeMap<String, Job>,
     next_job: usize,
-    job_every: f64,
+    shape: Shape,
+    /// Answers sent so far, over all controllers.
+    answers: Arc<AtomicU64>,
     next_arrival: Instant,
     arrivals_until: Instant,
     odd_from: Instant,
@@ -181,6 +278,11 @@
     pub late_copies: usize,
     pub called_off: usize,
     pub lost_leases: usize,
+    /// Answers older than a final state that had arrived before them, though their
+    /// requests were sent earlier, and by another process: no controller could know.
+    pub overtaken: usize,
+    /// Answers about jobs whose final state was known to their users.
+    pub repeated_answers: usize,
     pub leaders: BTreeSet<u64>,
 }
 
@@ -204,13 +306,21 @@
 }
 
 impl Simulation {
-    pub fn new(seed: u64, controllers: usize, mut faults: Vec<(f64, Fault)>, calm: f64) -> Self {
+    pub fn new(seed: u64, controllers: usize, faults: Vec<(f64, Fault)>, calm: f64) -> Self {
+        Simulation::shaped(seed, Shape::usual(controllers), faults, calm)
+    }
+
+    pub fn shaped(seed: u64, shape: Shape, mut faults: Vec<(f64, Fault)>, calm: f64) -> Self {
+        let controllers = shape.controllers;
         let asks = scripted::install();
         let begin = Instant::now();
         let mut settings = settings::tests::sample();
         settings.cluster.size = controllers as u32;
         settings.cluster.state.rps = 200.0;
-        settings.cluster.state.write_rps = 80.0;
+        settings.cluster.state.write_rps = shape.writes;
+        settings.cluster.state.rps = settings.cluster.state.rps.max(shape.writes * 2.5);
+        settings.cluster.state.value_kb = shape.value_kb;
+        settings.cluster.limits.memory_mb = shape.memory_mb;
         settings.cluster.workers.lease_s = 20.0;
         settings.cluster.workers.cancel_s = 45.0;
         if seed % 4 >= 2 {
@@ -226,6 +336,7 @@
             refused_until: begin,
             cut_until: begin,
             alone_until: begin,
+            stalls: stalls::Stalls::new(begin),
         };
         Simulation {
             rng: SmallRng::seed_from_u64(seed),
@@ -233,10 +344,16 @@
             settings,
             asks,
             events: JoinSet::new(),
-            state: stand_in::StoreState::default(),
+            state: stand_in::StoreState::with_pages_of(shape.page),
             renewed: BTreeMap::new(),
             outage_until: begin,
             late_writes: (0.0, begin),
+            lost_answers: (0.0, begin),
+            doubled_writes: (0.0, begin),
+            slow_answers: (0.0, begin),
+            late_requests: (0.0, begin),
+            peers_refuse_until: begin,
+            held_asks: Vec::new(),
             late: Vec::new(),
             watches: Vec::new(),
             cloud_down_until: begin,
@@ -248,7 +365,8 @@
             cancel_at_end: (0.0, begin),
             jobs: BTreeMap::new(),
             next_job: 0,
-            job_every: 4.0,
+            shape,
+            answers: Arc::default(),
             next_arrival: begin + seconds(3.0),
             arrivals_until: begin + seconds(calm),
             odd_from: begin + seconds(20.0),
@@ -261,6 +379,8 @@
             late_copies: 0,
             called_off: 0,
             lost_leases: 0,
+            overtaken: 0,
+            repeated_answers: 0,
             leaders: BTreeSet::new(),
         }
     }
@@ -298,7 +418,9 @@
             Event::Reported { machine, session, sent, answer } => {
                 self.reported(&machine, session, sent, answer);
             }
-            Event::Answered { job, question, sent, answer } => self.answered(&job, question, sent, answer),
+            Event::Answered { job, question, origin, answer, look } => {
+                self.answered(&job, question, origin, answer, look);
+            }
             Event::Nothing => {}
         }
     }
@@ -316,19 +438,21 @@
         }
         self.leader();
         if now >= self.next_arrival && now < self.arrivals_until {
-            self.next_arrival = now + seconds(self.rng.random_range(0.2..2.0) * self.job_every);
+            self.next_arrival = now + seconds(self.rng.random_range(0.2..2.0) * self.shape.job_every);
             self.arrive(now);
         }
         if now >= self.odd_from {
             self.odd_from = now + seconds(self.rng.random_range(1.0..5.0));
             self.odd(now);
         }
+        self.release_held(now);
         for name in self.machines.keys().cloned().collect::<Vec<_>>() {
             self.step_worker(now, &name);
         }
         for id in self.jobs.keys().cloned().collect::<Vec<_>>() {
             self.step_user(now, &id);
         }
+        self.look_around(now);
         self.check_cancelled(now);
         self.check_waiting(now);
     }
--- a/src/coordination/tests/simulation/state_service.rs
+++ b/src/coordination/tests/simulation/state_service.rs
@@ -11,7 +11,7 @@
         call: Call,
         reply: oneshot::Sender<Result<Response, ClientError>>,
     ) {
-        let soon = Duration::from_millis(self.rng.random_range(2..6));
+        let soon = Duration::from_millis(self.rng.random_range(2..6)) + self.slowness(now);
         let c = &self.controllers[at];
         if now < c.cut_until {
             return;
@@ -48,8 +48,20 @@
             self.late.push((now + after, request));
             return;
         }
+        let (share, until) = self.doubled_writes;
+        if call.target == "/commit" && now < until && self.rng.random_bool(share) {
+            // Carried out now, and once more later: an old copy.
+            self.late.push((now + seconds(self.rng.random_range(0.01..12.0)), request.clone()));
+        }
+        let (share, until) = self.lost_answers;
+        let lost = now < until && self.rng.random_bool(share);
         if let Some((status, body)) = self.state.answer(&request) {
             self.note_leases(now, &request, status);
+            if lost {
+                // Carried out, and others may read it; whoever asked does not hear.
+                return;
+            }
+            let soon = soon.max(self.stalled_until(at).saturating_duration_since(now));
             later(reply, Ok(answer(status, &body)), soon);
         }
     }
--- a/src/coordination/tests/simulation/users.rs
+++ b/src/coordination/tests/simulation/users.rs
@@ -7,7 +7,8 @@
         self.next_job += 1;
         let n = self.next_job;
         let r = &mut self.rng;
-        let tasks = [1, 2, 2, 3, 4, 6][r.random_range(0..6)];
+        let largest = self.shape.most_tasks;
+        let tasks = [1, 2, 2, 3, largest.min(4), largest][r.random_range(0..6)];
         let cpus = [1.0, 2.0, 4.0][r.random_range(0..3)];
         let team = if r.random_bool(0.5) { "red" } else { "blue" };
         let mut spec = sample(&format!("job-{n:05}"), team, tasks, cpus);
@@ -21,7 +22,7 @@
             3 if team == "blue" => spec.form = Form::Service,
             _ => {}
         }
-        let run = r.random_range(2.0..25.0);
+        let run = r.random_range(self.shape.longest_run * 0.08..self.shape.longest_run);
         spec.estimate_s = if spec.form == Form::Service { 0.0 } else { run * r.random_range(0.5..1.5) };
         let cancels = spec.form == Form::Service || r.random_bool(0.25);
         let cancel_from = cancels.then(|| now + seconds(r.random_range(1.0..40.0)));
@@ -62,31 +63,116 @@
         };
         job.in_flight = true;
         job.asked = true;
-        let request = match question {
-            Question::Submit => post("/api/jobs", encode(&job.spec.encode().build())),
-            Question::Withdraw => post(&format!("/api/jobs/{id}/withdraw"), Vec::new()),
-            _ => get(&format!("/api/jobs/{id}")),
-        };
+        let request = self.request_about(id, question);
         self.question(now, id, question, request);
     }
 
+    fn request_about(&self, id: &str, question: Question) -> Request {
+        match (question, self.jobs.get(id)) {
+            (Question::Submit, Some(job)) => post("/api/jobs", encode(&job.spec.encode().build())),
+            (Question::Withdraw, _) => post(&format!("/api/jobs/{id}/withdraw"), Vec::new()),
+            _ => get(&format!("/api/jobs/{id}")),
+        }
+    }
+
     pub(super) fn question(&mut self, now: Instant, id: &str, question: Question, request: Request) {
         let cut = now < self.zone_cut_until;
-        let reached = self.controllers.iter().enumerate().filter(|(at, _)| !(cut && *at == 1));
-        let up: Vec<NodeHandle> = reached.filter_map(|(_, c)| c.handle.clone()).collect();
-        let handle = (!up.is_empty()).then(|| up[self.rng.random_range(0..up.len())].clone());
+        let up = |at: &usize| !(cut && *at == 1) && self.controllers[*at].handle.is_some();
+        let reached: Vec<usize> = (0..self.controllers.len()).filter(up).collect();
+        let at = (!reached.is_empty()).then(|| reached[self.rng.random_range(0..reached.len())]);
+        self.send(now, id, question, request, at, Duration::from_millis(2), false);
+    }
+
+    /// Sends a request to one controller; `look`: beside those that its user needs.
+    #[allow(clippy::too_many_arguments)]
+    fn send(
+        &mut self,
+        now: Instant,
+        id: &str,
+        question: Question,
+        request: Request,
+        at: Option<usize>,
+        after: Duration,
+        look: bool,
+    ) {
+        let (share, until) = self.late_requests;
+        let late = now < until && self.rng.random_bool(share);
+        if late && !matches!(question, Question::Odd(_) | Question::Unknown) {
+            self.late_copy(&request);
+        }
         let patience = seconds(if question == Question::Poll { 2.0 } else { 5.0 });
-        let job = id.to_owned();
+        let (job, answers) = (id.to_owned(), self.answers.clone());
+        let reached = at.and_then(|at| {
+            let controller = &self.controllers[at];
+            let handle = controller.handle.clone()?;
+            Some(((at, controller.incarnation), handle, controller.stalls.clone()))
+        });
         self.events.spawn(async move {
-            tokio::time::sleep(Duration::from_millis(2)).await;
-            let answer = match handle {
-                Some(handle) => tokio::time::timeout(patience, Handler::handle(&handle, request)).await.ok(),
-                None => None,
+            tokio::time::sleep(after).await;
+            let sent = Instant::now();
+            let Some((process, handle, stalls)) = reached else {
+                let origin = Origin { sent, process: (usize::MAX, 0), order: 0 };
+                return Event::Answered { job, question, origin, answer: None, look };
             };
-            Event::Answered { job, question, sent: now, answer }
+            let handled = stalls.run(Handler::handle(&handle, request));
+            let answer = tokio::time::timeout(patience, handled).await.ok();
+            let order = answers.fetch_add(1, Ordering::Relaxed);
+            Event::Answered { job, question, origin: Origin { sent, process, order }, answer, look }
+        });
+    }
+
+    /// A copy of a request arrives again later, wherever; nobody waits for its answer.
+    fn late_copy(&mut self, request: &Request) {
+        let after = seconds(self.rng.random_range(1.0..40.0));
+        let at = self.rng.random_range(0..self.controllers.len());
+        let Some(handle) = self.controllers[at].handle.clone() else { return };
+        let (request, stalls) = (request.clone(), self.controllers[at].stalls.clone());
+        self.events.spawn(async move {
+            tokio::time::sleep(after).await;
+            let handled = stalls.run(Handler::handle(&handle, request));
+            // Its sender has gone, and a controller that has ended takes nothing in.
+            let _ = tokio::time::timeout(seconds(10.0), handled).await;
+            Event::Nothing
         });
     }
 
+    /// Asks all controllers within milliseconds, and again within a second.
+    fn look_closely(&mut self, now: Instant, id: &str) {
+        for at in 0..self.controllers.len() {
+            for after in [0.001, 0.02, 0.2, 0.9] {
+                let after = seconds(after * self.rng.random_range(0.5..1.5));
+                self.look(now, id, at, after);
+            }
+        }
+    }
+
+    fn look(&mut self, now: Instant, id: &str, at: usize, after: Duration) {
+        let Some(job) = self.jobs.get(id) else { return };
+        let over = job.told.is_some();
+        let called_off = job.cancel_from.is_some_and(|from| now >= from);
+        let question = match self.rng.random_range(0..8) {
+            0 | 1 => Question::Submit,
+            2 if over || called_off => Question::Withdraw,
+            _ => Question::Poll,
+        };
+        let request = self.request_about(id, question);
+        let reached = (!(now < self.zone_cut_until && at == 1)).then_some(at);
+        self.send(now, id, question, request, reached, after, true);
+    }
+
+    /// Users ask about any job, also long after it is over, beside what they need.
+    pub(super) fn look_around(&mut self, now: Instant) {
+        let chance = self.shape.looks * STEP.as_secs_f64();
+        let looks = chance.floor() as usize + usize::from(self.rng.random_bool(chance.fract()));
+        let known: Vec<String> =
+            self.jobs.iter().filter(|(_, job)| job.accepted.is_some()).map(|(id, _)| id.clone()).collect();
+        for _ in 0..looks.min(known.len()) {
+            let id = &known[self.rng.random_range(0..known.len())];
+            let at = self.rng.random_range(0..self.controllers.len());
+            self.look(now, id, at, Duration::from_millis(2));
+        }
+    }
+
     /// Requests that must be refused, and questions about what nobody submitted.
     pub(super) fn odd(&mut self, now: Instant) {
         let n = self.rng.random_range(0..1000);
@@ -113,7 +199,14 @@
         }
     }
 
-    pub fn answered(&mut self, id: &str, question: Question, sent: Instant, answer: Option<Response>) {
+    pub fn answered(
+        &mut self,
+        id: &str,
+        question: Question,
+        origin: Origin,
+        answer: Option<Response>,
+        look: bool,
+    ) {
         let now = Instant::now();
         let status = answer.as_ref().map_or(0, |a| a.status);
         let body = answer.as_ref().and_then(|a| decode(&a.body).ok()).unwrap_or(Value::Null);
@@ -129,8 +222,16 @@
             Question::Unknown => return,
             _ => {}
         }
+        let known = |job: &Job| (job.accepted.is_some(), job.told.is_some());
+        let before = self.jobs.get(id).map(known);
         let withdraws = question == Question::Withdraw;
-        self.note_answer(now, id, sent, status, standing.as_deref(), withdraws);
+        self.note_answer(now, id, origin, status, standing.as_deref(), withdraws);
+        if self.shape.looks > 1.0 && self.jobs.get(id).map(known) != before {
+            self.look_closely(now, id);
+        }
+        if look {
+            return;
+        }
         let wait = seconds(self.rng.random_range(1.0..1.5));
         let often = seconds(if now > self.calm_at { 5.0 } else { 3.0 });
         let Some(job) = self.jobs.get_mut(id) else { return };
@@ -147,13 +248,13 @@
         &mut self,
         now: Instant,
         id: &str,
-        sent: Instant,
+        origin: Origin,
         status: u16,
         standing: Option<&str>,
         withdraws: bool,
     ) {
         let Some(job) = self.jobs.get_mut(id) else { return };
-        let accepted = job.accepted.is_some_and(|at| at < sent);
+        let accepted = job.accepted.is_some_and(|at| at < origin.sent);
         if matches!(status, 200 | 201 | 404) {
             job.answered = now;
         }
@@ -163,33 +264,41 @@
             (400 | 422, _) if accepted => wrong.push(("forgotten", "refused as new")),
             (200 | 201, Some(standing)) => {
                 job.accepted.get_or_insert(now);
-                let before = job.told.filter(|(_, at)| *at < sent).map(|(told, _)| told);
-                if before.is_some_and(|told| told != standing) {
-                    wrong.push(("went_back", "told otherwise before"));
+                if let Some(told) = &job.told {
+                    self.repeated_answers += 1;
+                    let same_process = told.by.get(&origin.process).is_some_and(|at| *at < origin.order);
+                    match told.standing != standing {
+                        true if told.at < origin.sent => wrong.push(("went_back", "told otherwise before")),
+                        true if same_process => wrong.push(("went_back", "its sender had told otherwise")),
+                        true => self.overtaken += 1,
+                        false => {}
+                    }
                 }
                 match standing {
-                    "done" => {
-                        if (job.done.len() as u32) < job.spec.tasks {
-                            wrong.push(("not_done", "tasks are left"));
-                        }
-                        job.told.get_or_insert(("done", now));
+                    "done" if (job.done.len() as u32) < job.spec.tasks => {
+                        wrong.push(("not_done", "tasks are left"));
                     }
-                    "cancelled" => {
-                        if job.cancel_from.is_none_or(|at| now < at) {
-                            wrong.push(("went_back", "its user did not cancel it"));
-                        }
-                        job.told.get_or_insert(("cancelled", now));
-                        self.called_off += usize::from(job.cancelled.is_none());
-                        job.cancelled.get_or_insert(now);
+                    "cancelled" if job.cancel_from.is_none_or(|at| now < at) => {
+                        wrong.push(("went_back", "its user did not cancel it"));
                     }
+                    "done" | "cancelled" => {}
                     _ if withdraws => wrong.push(("withdrawn", "200 with no final standing")),
                     _ => {}
                 }
+                if let Some(last) = ["done", "cancelled"].into_iter().find(|last| *last == standing) {
+                    let first = || Told { standing: last, at: now, by: BTreeMap::new() };
+                    let told = job.told.get_or_insert_with(first);
+                    told.by.entry(origin.process).or_insert(origin.order);
+                    if last == "cancelled" {
+                        self.called_off += usize::from(job.cancelled.is_none());
+                        job.cancelled.get_or_insert(now);
+                    }
+                }
             }
             _ => {}
         }
         for (rule, what) in wrong {
-            self.breaks(rule, format!("{id}: {what} ({status} {standing:?})"));
+            self.breaks(rule, format!("{id}: {what} ({status} {standing:?} by {:?})", origin.process));
         }
     }
 }
--- a/src/protocol/jobs.rs
+++ b/src/protocol/jobs.rs
@@ -210,6 +210,12 @@
         }
     }
 
+    /// The standing that a word stands for.
+    pub fn parse(word: &str) -> Option<Self> {
+        let all = [Standing::Queued, Standing::Running, Standing::Done, Standing::Cancelled];
+        all.into_iter().find(|standing| standing.word() == word)
+    }
+
     /// Whether it can never change again.
     pub fn is_final(self) -> bool {
         matches!(self, Standing::Done | Standing::Cancelled)
@@ -226,6 +232,18 @@
 }
 
 impl JobStatus {
+    /// Reads what [`JobStatus::encode`] wrote.
+    pub fn decode(value: &Value) -> Result<Self, Malformed> {
+        let f = Fields::of(value)?;
+        let count = |key| u32::try_from(f.count(key)?).map_err(|_| Malformed::Invalid(key));
+        Ok(JobStatus {
+            id: JobId::parse(f.text("nameId")?).ok_or(Malformed::Invalid("nameId"))?,
+            standing: Standing::parse(f.text("standing")?).ok_or(Malformed::Invalid("standing"))?,
+            done: count("done")?,
+            running: count("running")?,
+        })
+    }
+
     pub fn encode(&self) -> Value {
         MapBuilder::new()
             .set("nameId", self.id.as_str())
--- a/src/storage/records.rs
+++ b/src/storage/records.rs
@@ -166,13 +166,7 @@
 }
 
 pub fn decode_row(value: &Value) -> Result<Standing, Malformed> {
-    match Fields::of(value)?.text("standing")? {
-        "queued" => Ok(Standing::Queued),
-        "running" => Ok(Standing::Running),
-        "done" => Ok(Standing::Done),
-        "cancelled" => Ok(Standing::Cancelled),
-        _ => Err(Malformed::Invalid("standing")),
-    }
+    Standing::parse(Fields::of(value)?.text("standing")?).ok_or(Malformed::Invalid("standing"))
 }
 
 /// A rental request. `machines` is `None` until the cloud has answered.
--- a/src/storage/stand_in.rs
+++ b/src/storage/stand_in.rs
@@ -47,6 +47,8 @@
     late: Option<Value>,
     script: VecDeque<Script>,
     commits: Vec<usize>,
+    /// Most keys in one page, if fewer than a request may ask for.
+    page: Option<usize>,
 }
 
 enum Ask {
@@ -123,6 +125,11 @@
 }
 
 impl StoreState {
+    /// A page never holds more keys than this, whatever is asked for.
+    pub fn with_pages_of(most: usize) -> Self {
+        StoreState { page: Some(most), ..StoreState::default() }
+    }
+
     /// Leases that there are, and how long each lives from its renewal on.
     pub fn leases(&self) -> &BTreeMap<u64, u64> {
         &self.leases
@@ -198,7 +205,8 @@
         let field =
             |name: &str| query.split('&').find_map(|part| part.strip_prefix(name)).unwrap_or_default();
         let (prefix, from) = (field("starts="), field("from="));
-        let most: usize = field("page=").parse().expect("a page size");
+        let asked: usize = field("page=").parse().expect("a page size");
+        let most = self.page.map_or(asked, |page| page.min(asked));
         let mut found = self.entries.iter().filter(|(k, _)| k.starts_with(prefix) && k.as_str() > from);
         let entries = found.by_ref().take(most).map(|(k, stored)| entry(k, stored)).collect();
         MapBuilder::new()
--- a/src/transport/peer.rs
+++ b/src/transport/peer.rs
@@ -28,12 +28,22 @@
     Lead,
 }
 
-/// The leading controller's answer, to be handed on unchanged.
+/// What stood behind an answer that is not final when it was sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LeaseNote {
+    /// The epoch under which it was decided; 0 where it was read from a record.
+    pub epoch: u64,
+    /// How much of the lease was left, or of the time that it counts as fresh.
+    pub left: Duration,
+}
+
+/// The leading controller's answer, to be handed on while it holds.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PeerReply {
     pub status: u16,
     pub body: Vec<u8>,
     pub retry_after_s: Option<u32>,
+    pub lease: Option<LeaseNote>,
 }
 
 /// Answers other controllers' calls.
@@ -51,6 +61,8 @@
             status: u32::from(reply.status),
             body: reply.body,
             retry_after_s: reply.retry_after_s.unwrap_or(0),
+            epoch: reply.lease.map_or(0, |lease| lease.epoch),
+            lease_left_ms: reply.lease.map_or(0, |lease| milliseconds(lease.left)),
         }))
     }
 }
@@ -81,6 +93,12 @@
     }
 }
 
+/// Rounded down, so that nothing holds for longer on the way; at least one, since none
+/// means that nothing was said of a lease.
+fn milliseconds(left: Duration) -> u32 {
+    u32::try_from(left.as_millis()).unwrap_or(u32::MAX).max(1)
+}
+
 /// Serves other controllers until the listener fails.
 pub async fn serve<H: PeerHandler>(
     address: SocketAddr,
@@ -136,6 +154,8 @@
         let reply = tokio::time::timeout(patience, exchange).await.ok()?.ok()?.into_inner();
         let status = u16::try_from(reply.status).ok().filter(|s| (200..600).contains(s))?;
         let retry_after_s = Some(reply.retry_after_s).filter(|&s| s > 0);
-        Some(PeerReply { status, body: reply.body, retry_after_s })
+        let left = Duration::from_millis(u64::from(reply.lease_left_ms));
+        let lease = (!left.is_zero()).then_some(LeaseNote { epoch: reply.epoch, left });
+        Some(PeerReply { status, body: reply.body, retry_after_s, lease })
     }
 }
