--- a/src/coordination/tests/monotonic_answers.rs
+++ b/src/coordination/tests/monotonic_answers.rs
@@ -2,6 +2,8 @@
 //! or cancelled, none says anything else. A search over random sequences of faults, with
 //! users that ask all controllers about all jobs, also long after these are over.
 
+use std::time::Duration;
+
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -50,8 +52,7 @@
 
 fn shape(seed: u64) -> Shape {
     let controllers = if seed.is_multiple_of(2) { 5 } else { 3 };
-    let shape = if seed % 8 < 2 { Shape::crowded(controllers) } else { Shape::busy(controllers) };
-    Shape { ..shape }
+    if seed % 8 < 2 { Shape::crowded(controllers) } else { Shape::busy(controllers) }
 }
 
 /// A seed that breaks a rule is printed, with its faults, and breaks it again.
@@ -77,3 +78,26 @@
     assert!(broken.is_empty(), "{} seeds: {}", broken.len(), broken.join("\n"));
     assert!(repeated > 1000, "hardly anybody asked: {repeated}");
 }
+
+/// More jobs than a controller remembers, and then no controller that remembers any: a
+/// final state stays readable, through each of them.
+#[test]
+fn final_states_stay_readable_when_memories_turned_over_and_all_controllers_were_gone() {
+    let shape = Shape { looks: 0.0, job_every: 0.2, longest_run: 2.0, most_tasks: 2, ..Shape::crowded(3) };
+    let gone = vec![(110.0, Fault::CrashAll { back: 0.5 })];
+    let (simulation, over) = in_simulated_time(async {
+        let mut simulation = Simulation::shaped(8, shape, gone, 100.0);
+        simulation.run(108.0).await;
+        simulation.ask_everywhere(Duration::from_millis(1));
+        simulation.run(130.0).await;
+        let before = simulation.repeated_answers;
+        let over = simulation.ask_everywhere(Duration::from_millis(8));
+        simulation.run(150.0).await;
+        simulation.repeated_answers -= before;
+        (simulation, over)
+    });
+    assert!(simulation.broken.is_empty(), "{:#?}", simulation.broken);
+    // Two generations of 144 are remembered (`Sizes::finals` at 8 MB).
+    assert!(over > 300, "hardly anything ended: {over}");
+    assert!(simulation.repeated_answers >= over * 3, "{} of {over} answered", simulation.repeated_answers);
+}
--- a/src/coordination/tests/overlapping_faults.rs
+++ b/src/coordination/tests/overlapping_faults.rs
@@ -3,7 +3,7 @@
 //! table in `docs/design.md` has the argument for each.
 
 use super::sequences::in_simulated_time;
-use super::simulation::{Fault, Simulation};
+use super::simulation::{Fault, Shape, Simulation};
 
 use Fault::*;
 
@@ -12,9 +12,17 @@
 
 /// Plays the meeting with three controllers, and with five.
 fn meet(faults: &[(f64, Fault)], took_place: impl Fn(&Simulation) -> bool) {
+    meet_in(Shape::usual, faults, took_place);
+}
+
+fn meet_in(
+    shape: impl Fn(usize) -> Shape,
+    faults: &[(f64, Fault)],
+    took_place: impl Fn(&Simulation) -> bool,
+) {
     for (seed, controllers) in [(1, 3), (2, 5)] {
         let simulation = in_simulated_time(async {
-            let mut simulation = Simulation::new(seed, controllers, faults.to_vec(), CALM);
+            let mut simulation = Simulation::shaped(seed, shape(controllers), faults.to_vec(), CALM);
             simulation.run(END).await;
             simulation.check_end();
             simulation
@@ -33,6 +41,17 @@
     });
 }
 
+/// A transaction is carried out and only its answer lost, while others read what it wrote.
+#[test]
+fn answers_of_transactions_are_lost_while_controllers_cannot_reach_each_other() {
+    let lost = LostAnswers { share: 0.6, lasts: 90.0 };
+    let cancel = CancelNow { count: 4, hang: 0.0 };
+    let at_end = CancelAtEnd { share: 0.4, lasts: 90.0 };
+    let apart = PeersRefuse { lasts: 80.0 };
+    let faults = [(25.0, lost), (25.0, at_end), (30.0, apart), (45.0, cancel), (70.0, cancel)];
+    meet_in(Shape::busy, &faults, |w| w.called_off > 0 && w.repeated_answers > 1000);
+}
+
 #[test]
 fn leaders_hand_over_and_back_and_one_returns_within_a_second() {
     let back_at_once = Crash { controller: None, back: 0.2 };
--- a/src/coordination/tests/simulation/users.rs
+++ b/src/coordination/tests/simulation/users.rs
@@ -160,6 +160,22 @@
         self.send(now, id, question, request, reached, after, true);
     }
 
+    /// Polls every job that is over at every controller, one after the other; returns how
+    /// many jobs there are.
+    pub fn ask_everywhere(&mut self, pause: Duration) -> usize {
+        let over: Vec<String> =
+            self.jobs.iter().filter(|(_, job)| job.told.is_some()).map(|(id, _)| id.clone()).collect();
+        let (now, mut after) = (Instant::now(), Duration::ZERO);
+        for id in &over {
+            for at in 0..self.controllers.len() {
+                let request = self.request_about(id, Question::Poll);
+                self.send(now, id, Question::Poll, request, Some(at), after, true);
+                after += pause;
+            }
+        }
+        over.len()
+    }
+
     /// Users ask about any job, also long after it is over, beside what they need.
     pub(super) fn look_around(&mut self, now: Instant) {
         let chance = self.shape.looks * STEP.as_secs_f64();
