--- a/src/coordination/tests/lease.rs
+++ b/src/coordination/tests/lease.rs
@@ -17,6 +17,30 @@
     assert!(rig.commits.is_empty());
 }
 
+/// A final write that is refused in whatever way may have been carried out by an earlier
+/// try without an answer: nothing is told from it, and memory is not used any more.
+#[test]
+fn a_refused_final_write_ends_the_epoch_and_nothing_is_told_from_it() {
+    for error in [StoreError::Fenced, StoreError::Conflict, StoreError::Rejected] {
+        for withdrawn in [true, false] {
+            let mut rig = Rig::new(vec![loaded_job(sample("job-1", "red", 1, 1.0))], Vec::new());
+            rig.commit_all();
+            let to = withdrawn.then(|| rig.withdraw("job-1"));
+            if !withdrawn {
+                rig.leader.mark_done(rig.now, &id("job-1"), 0);
+                rig.collect();
+            }
+            assert_eq!(rig.standing("job-1"), None, "the record decides while it is under way");
+            let others = rig.commits.len() - 1;
+            assert_eq!(others, 0, "{:?}", rig.commits);
+            rig.fail_commit(error);
+            assert!(rig.leader.is_over(), "{error:?}");
+            assert_eq!(to.and_then(|to| rig.answer(to)), None);
+            assert_eq!(rig.standing("job-1"), None);
+        }
+    }
+}
+
 #[test]
 fn past_its_lease_a_leader_answers_only_what_is_final() {
     let mut rig = Rig::with_machines(&["vm-1"]);
