--- a/src/coordination/cloud.rs
+++ b/src/coordination/cloud.rs
@@ -12,7 +12,7 @@
     ListPage, MachineType, PAGE, RentalRequest, decode_catalog, decode_list, decode_rented, encode_delete,
 };
 use crate::protocol::workers::MachineId;
-use crate::storage::service::{Bucket, Complaints};
+use crate::storage::pacing::{Bucket, Complaints};
 use crate::transport::client::{Call, ClientError, Connection, Pool};
 use crate::transport::codec::{Limits, Response};
 
--- a/src/coordination/node/tests.rs
+++ b/src/coordination/node/tests.rs
@@ -24,17 +24,17 @@
 }
 
 async fn rig() -> (Node, Inputs, NodeHandle) {
-    let world = StandIn::start(&[]).await;
+    let stand_in = StandIn::start(&[]).await;
     let mut settings = crate::settings::tests::sample();
     let second = settings.peers[0].clone();
     settings.peers.push(crate::settings::Peer { name: "c-2".into(), ..second });
     let (term, until) = watch::channel(Instant::now());
-    let cloud = super::super::cloud::start(world.address(), 1.0, Duration::from_secs(1), until);
+    let cloud = super::super::cloud::start(stand_in.address(), 1.0, Duration::from_secs(1), until);
     let config = Arc::new(Config { settings, tuning: crate::policy::tests::tuning() });
     let (leads, _) = watch::channel(false);
     let (_roles_in, roles) = mpsc::channel(1);
     let (abandoned, _) = watch::channel(0);
-    Node::new(config, store(world.address(), 12), cloud, leads, term, abandoned, roles)
+    Node::new(config, store(stand_in.address(), 12), cloud, leads, term, abandoned, roles)
 }
 
 /// The edge refuses at once: nobody is held while the buffer is full.
@@ -68,7 +68,7 @@
 /// controller that was taken for the leader hands nothing on.
 #[tokio::test]
 async fn calls_go_round_a_cut_through_one_other_controller() {
-    let (mut node, _inputs, _front) = rig().await;
+    let (mut node, _inputs, _handle) = rig().await;
     let now = Instant::now();
     let ways = |node: &Node, origin| -> Vec<(String, bool)> {
         node.ways(now, origin).into_iter().map(|(name, _, relay)| (name, relay)).collect()
@@ -90,7 +90,7 @@
 /// its lease if it were dead, and users turn to the one that can.
 #[tokio::test]
 async fn a_follower_that_cannot_reach_the_leader_is_not_ready() {
-    let (mut node, _inputs, _front) = rig().await;
+    let (mut node, _inputs, _handle) = rig().await;
     node.take_role(Role::Follows { leader: "c-1".into(), epoch: 7 });
     node.tick();
     assert!(*node.ready.borrow());
@@ -111,8 +111,8 @@
 /// A leader cut off from the state service alone: its lapse window ends, and its
 /// workers are sent to the new leader, as soon as that one is heard of.
 #[tokio::test]
-async fn a_lapsed_leader_ends_its_grace_when_it_hears_of_a_higher_epoch() {
-    let (mut node, _inputs, _front) = rig().await;
+async fn a_lapsed_leader_ends_its_lapse_window_when_it_hears_of_a_higher_epoch() {
+    let (mut node, _inputs, _handle) = rig().await;
     let now = Instant::now();
     let loaded = Loaded::default();
     node.leader = Some(Leader::new(node.config.clone(), 40, now, 0, loaded));
@@ -132,7 +132,7 @@
 /// controller that can; one that was handed on goes no further.
 #[tokio::test]
 async fn reports_of_workers_that_come_back_are_handed_on_once() {
-    let (mut node, _inputs, _front) = rig().await;
+    let (mut node, _inputs, _handle) = rig().await;
     node.role = Role::Follows { leader: "c-1".into(), epoch: 7 };
     let report = report(1);
     let send = |node: &mut Node, body: Option<Vec<u8>>| {
@@ -177,7 +177,7 @@
 /// have long turned elsewhere.
 #[tokio::test]
 async fn reports_that_waited_too_long_are_dropped_unread() {
-    let (mut node, _inputs, _front) = rig().await;
+    let (mut node, _inputs, _handle) = rig().await;
     let now = Instant::now();
     let mut leader = Leader::new(node.config.clone(), 40, now, 0, Loaded::default());
     leader.extend(now, now + Duration::from_secs(60));
@@ -216,7 +216,7 @@
 /// way, answers a poll from the record, within what a user waits.
 #[tokio::test]
 async fn a_poll_that_no_way_is_left_for_is_answered_from_the_record() {
-    let (mut node, mut inputs, _front) = rig().await;
+    let (mut node, mut inputs, _handle) = rig().await;
     let spec = crate::protocol::jobs::tests::sample("job-1", "red", 1, 1.0);
     let record = JobRecord::new(spec.clone(), 0).encode(8.0);
     put_record(&node, record_key(&spec.id), record).await;
@@ -272,7 +272,7 @@
 /// a cancellation of it is not answered from there, whatever may come of it.
 #[tokio::test]
 async fn a_cancellation_is_answered_from_a_record_only_if_it_is_final() {
-    let (mut node, mut inputs, _front) = rig().await;
+    let (mut node, mut inputs, _handle) = rig().await;
     let spec = crate::protocol::jobs::tests::sample("job-1", "red", 1, 1.0);
     for (settled, status) in [(false, 503), (true, 200)] {
         let record = JobRecord { settled, ..JobRecord::new(spec.clone(), 0) }.encode(8.0);
--- a/src/storage/mod.rs
+++ b/src/storage/mod.rs
@@ -2,6 +2,7 @@
 //! there.
 
 pub mod done_set;
+pub mod pacing;
 pub mod records;
 pub mod service;
 
--- a/src/storage/service/tests.rs
+++ b/src/storage/service/tests.rs
@@ -1,15 +1,19 @@
+use tokio::time::Instant;
+
 use super::*;
+use crate::storage::pacing::{Bucket, Complaints};
+use crate::storage::records::LEADER;
 use crate::storage::stand_in::{Script, StandIn, put, store};
 
 async fn rig(script: &[Script]) -> (Store, StandIn) {
-    let world = StandIn::start(script).await;
-    world.seed(LEADER, Value::Null, 7).await;
-    (store(world.address(), 4), world)
+    let stand_in = StandIn::start(script).await;
+    stand_in.seed(LEADER, Value::Null, 7).await;
+    (store(stand_in.address(), 4), stand_in)
 }
 
 #[tokio::test]
 async fn a_stale_epoch_changes_nothing() {
-    let (store, _world) = rig(&[]).await;
+    let (store, _stand_in) = rig(&[]).await;
     assert_eq!(store.commit(put(6, "a", 0)).await, Err(StoreError::Fenced));
     assert_eq!(store.get(Class::Accept, "a").await, Ok(None));
     assert_eq!(store.commit(put(7, "a", 0)).await, Ok(8));
@@ -21,7 +25,7 @@
 #[tokio::test]
 async fn an_unknown_outcome_is_settled_before_it_is_reported() {
     for script in [Script::LoseAnswer, Script::Delay, Script::Refuse] {
-        let (store, _world) = rig(&[script]).await;
+        let (store, _stand_in) = rig(&[script]).await;
         let version = store.commit(put(7, "a", 0)).await.expect("carried out");
         let entry = store.get(Class::Accept, "a").await.expect("served").expect("there");
         assert_eq!(entry.version, version, "{script:?}");
@@ -31,7 +35,7 @@
 
 #[tokio::test]
 async fn changes_of_several_callers_share_a_transaction_within_its_limit() {
-    let (store, world) = rig(&[]).await;
+    let (store, stand_in) = rig(&[]).await;
     let mut tasks = tokio::task::JoinSet::new();
     for n in 0..10 {
         let store = store.clone();
@@ -40,18 +44,18 @@
     while let Some(result) = tasks.join_next().await {
         assert!(result.expect("no panic").is_ok());
     }
-    let commits = world.commit_sizes().await;
+    let commits = stand_in.commit_sizes().await;
     assert_eq!(commits.iter().sum::<usize>(), 10);
     assert!(commits.iter().all(|&ops| ops <= 4) && commits.len() < 10, "{commits:?}");
 }
 
 #[tokio::test]
 async fn a_scan_reads_all_pages() {
-    let (store, world) = rig(&[]).await;
+    let (store, stand_in) = rig(&[]).await;
     for n in 0..1203 {
-        world.seed(&format!("k/{n:04}"), Value::Null, n + 8).await;
+        stand_in.seed(&format!("k/{n:04}"), Value::Null, n + 8).await;
     }
-    world.seed("l/1", Value::Null, 9000).await;
+    stand_in.seed("l/1", Value::Null, 9000).await;
     assert_eq!(store.scan("k/").await.expect("served").len(), 1203);
 }
 
