--- a/src/coordination/tests/simulation/users.rs
+++ b/src/coordination/tests/simulation/users.rs
@@ -2,6 +2,18 @@
 
 use super::*;
 
+/// A request that a user is about to send.
+struct Sending {
+    id: String,
+    question: Question,
+    request: Request,
+    /// The controller that it reaches, if it reaches any.
+    at: Option<usize>,
+    after: Duration,
+    /// Beside those that its user needs.
+    look: bool,
+}
+
 impl Simulation {
     pub fn arrive(&mut self, now: Instant) {
         self.next_job += 1;
@@ -80,28 +92,19 @@
         let up = |at: &usize| !(cut && *at == 1) && self.controllers[*at].handle.is_some();
         let reached: Vec<usize> = (0..self.controllers.len()).filter(up).collect();
         let at = (!reached.is_empty()).then(|| reached[self.rng.random_range(0..reached.len())]);
-        self.send(now, id, question, request, at, Duration::from_millis(2), false);
+        let (id, after) = (id.to_owned(), Duration::from_millis(2));
+        self.send(now, Sending { id, question, request, at, after, look: false });
     }
 
-    /// Sends a request to one controller; `look`: beside those that its user needs.
-    #[allow(clippy::too_many_arguments)]
-    fn send(
-        &mut self,
-        now: Instant,
-        id: &str,
-        question: Question,
-        request: Request,
-        at: Option<usize>,
-        after: Duration,
-        look: bool,
-    ) {
+    fn send(&mut self, now: Instant, sending: Sending) {
+        let Sending { id, question, request, at, after, look } = sending;
         let (share, until) = self.late_requests;
         let late = now < until && self.rng.random_bool(share);
         if late && !matches!(question, Question::Odd(_) | Question::Unknown) {
             self.late_copy(&request);
         }
         let patience = seconds(if question == Question::Poll { 2.0 } else { 5.0 });
-        let (job, answers) = (id.to_owned(), self.answers.clone());
+        let (job, answers) = (id, self.answers.clone());
         let reached = at.and_then(|at| {
             let controller = &self.controllers[at];
             let handle = controller.handle.clone()?;
@@ -157,7 +160,8 @@
         };
         let request = self.request_about(id, question);
         let reached = (!(now < self.zone_cut_until && at == 1)).then_some(at);
-        self.send(now, id, question, request, reached, after, true);
+        let id = id.to_owned();
+        self.send(now, Sending { id, question, request, at: reached, after, look: true });
     }
 
     /// Polls every job that is over at every controller, one after the other; returns how
@@ -169,7 +173,8 @@
         for id in &over {
             for at in 0..self.controllers.len() {
                 let request = self.request_about(id, Question::Poll);
-                self.send(now, id, Question::Poll, request, Some(at), after, true);
+                let (id, question) = (id.clone(), Question::Poll);
+                self.send(now, Sending { id, question, request, at: Some(at), after, look: true });
                 after += pause;
             }
         }
