--- a/src/transport/peer.rs
+++ b/src/transport/peer.rs
@@ -56,14 +56,7 @@
 
 impl<H: PeerHandler> Service<H> {
     async fn answer(&self, call: PeerCall, relay: bool) -> Result<Response<Reply>, Status> {
-        let reply = self.0.handle(call, relay).await;
-        Ok(Response::new(Reply {
-            status: u32::from(reply.status),
-            body: reply.body,
-            retry_after_s: reply.retry_after_s.unwrap_or(0),
-            epoch: reply.lease.map_or(0, |lease| lease.epoch),
-            lease_left_ms: reply.lease.map_or(0, |lease| milliseconds(lease.left)),
-        }))
+        Ok(Response::new(self.0.handle(call, relay).await.into()))
     }
 }
 
@@ -93,6 +86,27 @@
     }
 }
 
+impl From<PeerReply> for Reply {
+    fn from(reply: PeerReply) -> Self {
+        Reply {
+            status: u32::from(reply.status),
+            body: reply.body,
+            retry_after_s: reply.retry_after_s.unwrap_or(0),
+            epoch: reply.lease.map_or(0, |lease| lease.epoch),
+            lease_left_ms: reply.lease.map_or(0, |lease| milliseconds(lease.left)),
+        }
+    }
+}
+
+/// The reply as it came; `None` if its status is none of HTTP.
+fn received(reply: Reply) -> Option<PeerReply> {
+    let status = u16::try_from(reply.status).ok().filter(|s| (200..600).contains(s))?;
+    let retry_after_s = Some(reply.retry_after_s).filter(|&s| s > 0);
+    let left = Duration::from_millis(u64::from(reply.lease_left_ms));
+    let lease = (!left.is_zero()).then_some(LeaseNote { epoch: reply.epoch, left });
+    Some(PeerReply { status, body: reply.body, retry_after_s, lease })
+}
+
 /// Rounded down, so that nothing holds for longer on the way; at least one, since none
 /// means that nothing was said of a lease.
 fn milliseconds(left: Duration) -> u32 {
@@ -152,10 +166,9 @@
             }
         };
         let reply = tokio::time::timeout(patience, exchange).await.ok()?.ok()?.into_inner();
-        let status = u16::try_from(reply.status).ok().filter(|s| (200..600).contains(s))?;
-        let retry_after_s = Some(reply.retry_after_s).filter(|&s| s > 0);
-        let left = Duration::from_millis(u64::from(reply.lease_left_ms));
-        let lease = (!left.is_zero()).then_some(LeaseNote { epoch: reply.epoch, left });
-        Some(PeerReply { status, body: reply.body, retry_after_s, lease })
+        received(reply)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/transport/peer/tests.rs
@@ -0,0 +1,33 @@
+use prost::Message;
+
+use super::*;
+
+#[test]
+fn what_is_left_of_a_lease_comes_through_and_is_never_longer() {
+    let left = Duration::from_micros(1_234_900);
+    let lease = Some(LeaseNote { epoch: 7, left });
+    let sent = PeerReply { status: 200, body: vec![1], retry_after_s: Some(3), lease };
+    let bytes = Reply::from(sent.clone()).encode_to_vec();
+    let reply = received(Reply::decode(bytes.as_slice()).expect("a message")).expect("a reply");
+    assert_eq!(reply.lease, Some(LeaseNote { epoch: 7, left: Duration::from_millis(1234) }));
+    assert_eq!(PeerReply { lease, ..reply }, sent);
+    // Less than the least that can be said is still a lease, not none.
+    let lease = Some(LeaseNote { epoch: 7, left: Duration::from_micros(1) });
+    assert_eq!(Reply::from(PeerReply { lease, ..sent }).lease_left_ms, 1);
+}
+
+/// Field by field what a build sends that knows nothing of leases.
+#[test]
+fn a_reply_of_an_earlier_build_is_read_and_says_nothing_of_a_lease() {
+    let earlier: &[u8] = &[0x08, 0xc8, 0x01, 0x12, 0x01, 0x2a, 0x18, 0x03];
+    let reply = received(Reply::decode(earlier).expect("a message")).expect("a reply");
+    assert_eq!(reply, PeerReply { status: 200, body: vec![0x2a], retry_after_s: Some(3), lease: None });
+}
+
+#[test]
+fn a_reply_with_no_status_of_http_is_none() {
+    for status in [0, 199, 600, 70_000] {
+        let reply = Reply { status, body: Vec::new(), retry_after_s: 0, epoch: 0, lease_left_ms: 0 };
+        assert_eq!(received(reply), None, "{status}");
+    }
+}
