Say once when memory answers for a job, and once how a user's request is routed

Found on reading the change over. Polls and repeated submissions had the rule for an undecided job each, and look-ups a third copy of when memory may be told; submissions repeated the check of what was told and the handing on. One from_memory, one routing. No behaviour changes: a job that is final has no write under way, so the order of the two checks does not matter.

--- a/src/coordination/intake.rs
+++ b/src/coordination/intake.rs
@@ -15,12 +15,11 @@
         if !self.valid(now) {
             return self.answer(to, Answer::later(503, "not leading now", 1));
         }
-        if let Some(job) = self.jobs.get(&spec.id) {
-            if job.is_undecided() {
+        if self.jobs.contains_key(&spec.id) {
+            let Some(answer) = self.poll(now, &spec.id) else {
                 let otherwise = Answer::later(503, "try again", 1);
                 return self.actions.push(Action::LookUp { to, job: spec.id, otherwise });
-            }
-            let answer = Answer::state(200, job.status(), self.basis());
+            };
             return self.answer(to, answer);
         }
         if let Some(creating) = self.creating.get_mut(&spec.id) {
@@ -102,17 +101,18 @@
 
     /// What the picture says of a job; `None` if the store must be asked.
     pub fn poll(&self, now: Instant, job: &JobId) -> Option<Answer> {
-        let job = self.jobs.get(job)?;
-        // Without the lease another leader may know more; with a final write under
-        // way, whoever reads the record may. What is final is final in any case.
-        let usable = (self.valid(now) && !job.is_undecided()) || job.record.final_standing().is_some();
-        usable.then(|| Answer::state(200, job.status(), self.basis()))
+        // Whoever reads the record may know more while a final write is under way.
+        let decided = !self.jobs.get(job)?.is_undecided();
+        if decided { self.from_memory(now, job) } else { None }
     }
 
-    /// What to say of a job whose record was just read and is not final. The picture may
-    /// have become final meanwhile, and knows what runs; `None` if it may not be told.
-    pub fn beside_live_record(&self, now: Instant, job: &JobId) -> Option<Answer> {
+    /// What the picture says of a job that is decided, or whose record was just read and
+    /// is not final: the picture may have become so meanwhile, and knows what runs.
+    /// `None` if it may not be told.
+    pub fn from_memory(&self, now: Instant, job: &JobId) -> Option<Answer> {
         let job = self.jobs.get(job)?;
+        // Without the lease another leader may know more; what is final is final in
+        // any case.
         let usable = self.valid(now) || job.record.final_standing().is_some();
         usable.then(|| Answer::state(200, job.status(), self.basis()))
     }
--- a/src/coordination/node/user_requests.rs
+++ b/src/coordination/node/user_requests.rs
@@ -49,44 +49,34 @@
 impl Node {
     pub(super) fn take_user(&mut self, call: PeerCall, reply: Reply, origin: Origin) {
         let now = Instant::now();
-        let job = match &call {
-            PeerCall::Poll(id) | PeerCall::Withdraw(id) => JobId::parse(id),
-            PeerCall::Submit(body) => {
-                let spec = decode(body).and_then(|value| JobSpec::decode(&value));
-                let spec = match spec {
-                    Ok(spec) => spec,
-                    Err(error) => return drop(reply.send(refuse_malformed(&error))),
-                };
-                return self.take_submission(now, spec, call, reply, origin);
-            }
+        let (job, spec) = match &call {
+            PeerCall::Poll(id) | PeerCall::Withdraw(id) => match JobId::parse(id) {
+                Some(job) => (job, None),
+                None => return drop(reply.send(Answer::refused(404, "no such job"))),
+            },
+            PeerCall::Submit(body) => match decode(body).and_then(|value| JobSpec::decode(&value)) {
+                Ok(spec) => (spec.id.clone(), Some(spec)),
+                Err(error) => return drop(reply.send(refuse_malformed(&error))),
+            },
             PeerCall::Lead => return drop(reply.send(self.leading(now))),
             // Reports have a buffer of their own.
             PeerCall::Report(_) => return drop(reply.send(Answer::refused(400, "a report"))),
         };
-        let Some(job) = job else {
-            return drop(reply.send(Answer::refused(404, "no such job")));
-        };
         // What is final stays so, whoever leads.
         if let Some(status) = self.told.get(&job) {
             return drop(reply.send(Answer::final_state(status.clone())));
         }
         let request = UserRequest { call, job, reply, origin };
-        match request.call {
+        match (&request.call, spec) {
             _ if !self.leads(now) => self.pass_on(request),
-            PeerCall::Withdraw(_) => self.withdraw(now, request),
+            (_, Some(spec)) => self.submit(now, spec, request),
+            (PeerCall::Withdraw(_), _) => self.withdraw(now, request),
             _ => self.poll(now, request),
         }
     }
 
-    fn take_submission(&mut self, now: Instant, spec: JobSpec, call: PeerCall, reply: Reply, origin: Origin) {
-        let job = spec.id.clone();
-        if let Some(status) = self.told.get(&job) {
-            return drop(reply.send(Answer::final_state(status.clone())));
-        }
-        if !self.leads(now) {
-            return self.pass_on(UserRequest { call, job, reply, origin });
-        }
-        let to = self.keep(reply, job, now);
+    fn submit(&mut self, now: Instant, spec: JobSpec, request: UserRequest) {
+        let to = self.keep(request.reply, request.job, now);
         if let Some(leader) = &mut self.leader {
             leader.submit(now, wall_ms(), to, spec);
         }
@@ -257,7 +247,7 @@
             RecordRead::Found(_) if only_final => Answer::later(503, "try again", 1),
             RecordRead::Found(status) => {
                 let leader = self.leader.as_ref();
-                let picture = leader.and_then(|l| l.beside_live_record(Instant::now(), &job));
+                let picture = leader.and_then(|l| l.from_memory(Instant::now(), &job));
                 let basis = Basis { epoch: 0, until: started + POLL_PATIENCE };
                 picture.unwrap_or_else(|| Answer::state(200, status, basis))
             }
