--- a/src/coordination/demand.rs
+++ b/src/coordination/demand.rs
@@ -8,7 +8,7 @@
 use super::leader::Leader;
 use super::model::Resources;
 use super::renting::Offer;
-use crate::protocol::jobs::JobId;
+use crate::protocol::jobs::{JobId, JobSpec};
 use crate::storage::records::{EXPERIENCE, Experience, GroupExperience};
 
 /// Jobs that may use the same machines.
@@ -117,7 +117,8 @@
             (demand.ideal, demand.active, demand.pending, demand.drain) = (0.0, 0.0, 0.0, 0.0);
         }
         let start_delay = self.config.settings.cluster.workers.report().mul_f64(0.5);
-        let ids: Vec<JobId> = self.jobs.values().filter(|j| j.is_live()).map(|j| j.id().clone()).collect();
+        let ids: Vec<JobId> =
+            self.jobs.values().filter(|j| j.is_live() && !j.is_waiting()).map(|j| j.id().clone()).collect();
         for id in ids {
             let Some(job) = self.jobs.get(&id) else { continue };
             let spec = job.spec();
@@ -125,7 +126,7 @@
             let gpus = spec.gpus > 0.0;
             let unit = if gpus { spec.gpus } else { spec.cpus };
             let limit = if gpus { team.limit.gpus } else { team.limit.cpus };
-            let patience = self.starts_aimed_at(spec).min().unwrap_or_default();
+            let patience = self.patience(spec);
             let patient = patience > self.longest_boot().mul_f64(1.5);
             let types = self.fitting_types(spec);
             let key = GroupKey { types, zone: spec.zone.clone(), spot: spec.spot, gpus, patient };
@@ -142,7 +143,7 @@
             // What a team asks beyond its limit cannot run at once.
             let offered = job.offered.unwrap_or_else(|| (unit * f64::from(job.unfinished())).min(limit));
             let arriving = job.offered.is_none();
-            let ideal_end = job.submitted + Duration::from_secs_f64(run) + start_delay;
+            let ideal_end = job.counted_from(now) + Duration::from_secs_f64(run) + start_delay;
             let runs_ideally = job.is_service() || now < ideal_end;
             let demand = self.demand.entry(key).or_insert_with(|| Demand::new(now));
             demand.patience = if patient { patience } else { Duration::ZERO };
@@ -174,6 +175,14 @@
         self.demand.retain(|_, d| d.mean > 0.05 || d.active + d.pending > 0.0);
     }
 
+    /// How long a job may wait for its first aim. The deadline of one that waits for others
+    /// says little of that: most of it may be over when the job is released.
+    fn patience(&self, spec: &JobSpec) -> Duration {
+        let after_release = self.starts_after_release(spec).min();
+        let by_deadline = self.starts_by_deadline(spec).filter(|_| spec.awaits.is_empty()).min();
+        after_release.into_iter().chain(by_deadline).min().unwrap_or_default()
+    }
+
     /// What a later leader could not find out by itself: demand so far and how
     /// estimates have turned out.
     pub(super) fn write_experience(&mut self, now: Instant) {
--- /dev/null
+++ b/src/coordination/dependencies/tests.rs
@@ -0,0 +1,117 @@
+use super::*;
+
+fn id(text: &str) -> JobId {
+    JobId::parse(&format!("job-{text}")).expect("valid id")
+}
+
+fn names(jobs: Vec<JobId>) -> Vec<String> {
+    let mut names: Vec<String> = jobs.iter().map(|job| job.as_str().replace("job-", "")).collect();
+    names.sort();
+    names
+}
+
+fn plain(needs: &[&str]) -> Entry {
+    Entry {
+        awaited: needs.iter().map(|need| id(need)).collect(),
+        fate: Fate::Open,
+        urgency: Urgency { priority: Priority::BestEffort, finish_by: None },
+        duration: Duration::from_secs(10),
+    }
+}
+
+fn graph(edges: &[(&str, &[&str])]) -> Dependencies {
+    let mut graph = Dependencies::default();
+    for (job, needs) in edges {
+        graph.insert(&id(job), plain(needs));
+    }
+    graph
+}
+
+#[test]
+fn a_job_is_released_by_the_last_of_its_needs() {
+    let mut graph = graph(&[("b", &["a"]), ("c", &["a"]), ("d", &["b", "c"])]);
+    assert_eq!(names(graph.settled(&id("a"))), ["b", "c"]);
+    assert!(graph.settled(&id("b")).is_empty());
+    assert!(graph.is_waiting(&id("d")) && !graph.is_waiting(&id("c")));
+    assert_eq!(names(graph.settled(&id("c"))), ["d"]);
+    assert!(graph.settled(&id("c")).is_empty(), "a second time says nothing new");
+}
+
+/// A chain, a diamond, fan-in and fan-out: all that need a cancelled job go with it, and
+/// nothing beside them.
+#[test]
+fn all_that_need_a_cancelled_job_are_cancelled_with_it() {
+    let mut graph = graph(&[
+        ("b", &["a"]),
+        ("c", &["a"]),
+        ("d", &["b", "c"]),
+        ("e", &["d", "x"]),
+        ("y", &["x"]),
+        ("z", &["y"]),
+    ]);
+    graph.being_cancelled(&id("b"));
+    assert_eq!([id("d"), id("e")].map(|job| graph.fate(&job)), [Fate::Undecided; 2]);
+    // One that comes while the outcome is not known.
+    graph.insert(&id("f"), plain(&["e"]));
+    assert_eq!(graph.fate(&id("f")), Fate::Undecided);
+    assert_eq!(names(graph.cancelled(&id("b"))), ["d", "e", "f"]);
+    for job in ["a", "c", "x", "y", "z"] {
+        assert_eq!(graph.fate(&id(job)), Fate::Open, "{job}");
+    }
+    graph.insert(&id("g"), plain(&["f", "y"]));
+    assert_eq!(graph.fate(&id("g")), Fate::Cancelled);
+    assert!(graph.settled(&id("c")).is_empty(), "a cancelled job is never released");
+    assert!(graph.is_waiting(&id("d")));
+    assert_eq!(names(graph.settled(&id("x"))), ["y"]);
+}
+
+/// Read by a new leader, a job may come before those that it needs.
+#[test]
+fn the_order_in_which_jobs_join_does_not_matter() {
+    let mut graph = graph(&[("c", &["b"])]);
+    graph.insert(&id("b"), Entry { fate: Fate::Cancelled, ..plain(&[]) });
+    assert_eq!(graph.fate(&id("c")), Fate::Cancelled);
+}
+
+#[test]
+fn urgency_is_inherited_along_the_path_and_falls_back() {
+    let now = Instant::now();
+    let due = |s| Some(now + Duration::from_secs(s));
+    let last = |needs: &[&str], priority, s| {
+        let urgency = Urgency { priority, finish_by: due(s) };
+        Entry { urgency, ..plain(needs) }
+    };
+    let mut graph = graph(&[("b", &["a"]), ("c", &["a"])]);
+    assert_eq!(graph.inherited(&id("a")).map(|u| u.priority), Some(Priority::BestEffort));
+    graph.insert(&id("d"), last(&["b", "c"], Priority::High, 100));
+    graph.insert(&id("e"), last(&["c"], Priority::Standard, 60));
+    let inherited = |graph: &Dependencies, job| graph.inherited(&id(job)).map(|u| (u.priority, u.finish_by));
+    assert_eq!(inherited(&graph, "b"), Some((Priority::High, due(90))));
+    assert_eq!(inherited(&graph, "c"), Some((Priority::High, due(50))));
+    assert_eq!(inherited(&graph, "a"), Some((Priority::High, due(40))));
+    assert_eq!(names(graph.cancelled(&id("d"))), Vec::<String>::new());
+    assert_eq!(inherited(&graph, "b"), None);
+    assert_eq!(inherited(&graph, "c"), Some((Priority::Standard, due(50))));
+    assert_eq!(inherited(&graph, "a"), Some((Priority::Standard, due(40))));
+    graph.remove(&id("e"));
+    assert_eq!(inherited(&graph, "a"), Some((Priority::BestEffort, None)));
+}
+
+/// No step recurses: a chain may be longer than any stack.
+#[test]
+fn a_long_chain_costs_a_step_for_each_edge() {
+    let mut graph = Dependencies::default();
+    let name = |n: u32| format!("{n}");
+    for n in 1..100_000 {
+        graph.insert(&id(&name(n)), plain(&[&name(n - 1)]));
+    }
+    let urgent = Urgency { priority: Priority::Critical, finish_by: None };
+    graph.insert(&id("last"), Entry { urgency: urgent, ..plain(&[&name(99_999)]) });
+    assert_eq!(graph.inherited(&id("0")).map(|u| u.priority), Some(Priority::Critical));
+    assert_eq!(graph.cancelled(&id("0")).len(), 100_000);
+    for n in 0..100_000 {
+        graph.remove(&id(&name(n)));
+    }
+    graph.remove(&id("last"));
+    assert!(graph.nodes.is_empty());
+}
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -92,7 +92,7 @@
     /// Writes one of the notes that leaders keep for the next, unless its last
     /// write is still under way or it does not fit.
     pub(super) fn write_note(&mut self, key: &'static str, value: Value) {
-        let limit = (self.config.settings.cluster.state.value_kb * 1024.0) as usize;
+        let limit = self.config.settings.cluster.state.within_both().value_bytes();
         let note = self.notes.entry(key).or_default();
         if note.writing || json_size(&value) + 64 > limit {
             return;
--- a/src/coordination/intake.rs
+++ b/src/coordination/intake.rs
@@ -3,15 +3,43 @@
 use tokio::time::Instant;
 
 use super::answers::Answer;
-use super::leader::{Action, Creating, Leader, Ticket};
-use super::model::{ReplyTo, Resources};
-use crate::protocol::jobs::{Form, JobId, JobSpec, JobStatus, Standing};
+use super::dependencies::Fate;
+use super::leader::{Action, Creating, Leader, Ticket, UnjudgedSubmission};
+use super::model::{Job, ReplyTo, Resources};
+use super::pipelines::{NeedStates, Needs};
+use crate::protocol::cbor::json_size;
+use crate::protocol::jobs::{Form, JobId, JobSpec, Standing};
 use crate::protocol::state::{Change, Condition};
-use crate::storage::records::{JobRecord, live_key, record_key, row};
+use crate::settings::State;
+use crate::storage::records::{JobRecord, block_size, live_key, record_key, row};
 use crate::storage::service::{Class, StoreError};
 
+/// Bytes that a value has beside what is encoded here.
+const VALUE_MARGIN: usize = 128;
+
+/// Whether the record fits into one value, before and after the limits change, with its
+/// done tasks in the way that leaves the most room for the description.
+fn fits_a_value(record: &JobRecord, state: &State) -> bool {
+    let limits = state.within_both();
+    let bitmap = (record.spec.tasks.min(block_size(limits.value_kb)) / 6) as usize;
+    json_size(&record.encode_verdict()) + bitmap + VALUE_MARGIN <= limits.value_bytes()
+}
+
 impl Leader {
+    /// A user submits a job.
     pub fn submit(&mut self, now: Instant, now_ms: u64, to: ReplyTo, spec: JobSpec) {
+        self.submit_knowing(now, now_ms, to, spec, NeedStates::default());
+    }
+
+    /// The same, with what was read of the jobs that it names.
+    pub fn submit_knowing(
+        &mut self,
+        now: Instant,
+        now_ms: u64,
+        to: ReplyTo,
+        spec: JobSpec,
+        read: NeedStates,
+    ) {
         if !self.valid(now) {
             return self.answer(to, Answer::later(503, "not leading now", 1));
         }
@@ -28,15 +56,22 @@
         if self.catalog.is_empty() {
             return self.answer(to, Answer::later(503, "machine types not known yet", 1));
         }
+        let (awaited, fate) = match self.judge_needs(&spec, &read) {
+            Needs::Known { awaited, fate } => (awaited, fate),
+            Needs::Unread(unread) => {
+                let submission = UnjudgedSubmission { to, spec, unread, read };
+                return self.actions.push(Action::ReadNeeds(Box::new(submission)));
+            }
+            Needs::Unclear(reason) => return self.answer(to, Answer::later(503, reason, 1)),
+            Needs::Impossible(reason) => return self.refuse_unless_accepted(to, spec.id, reason),
+        };
         if let Some(reason) = self.can_never_run(&spec) {
-            // Unless it was accepted earlier: a retry is never judged anew.
-            let otherwise = Answer::refused(422, reason);
-            return self.actions.push(Action::LookUp { to, job: spec.id, otherwise });
+            return self.refuse_unless_accepted(to, spec.id, reason);
         }
         // Acceptances take two changes each. What could not be written within
         // a second or two is refused now rather than kept waiting.
         let state = &self.config.settings.cluster.state;
-        let room = (state.write_rps / 2.0).max(4.0) as usize;
+        let room = (self.state_limits.write_rps / 2.0).max(4.0) as usize;
         let most_jobs = (self.config.settings.cluster.limits.memory_mb * 32.0) as usize;
         if self.creating.len() >= room || self.jobs.len() >= most_jobs {
             self.refused += 1;
@@ -44,10 +79,15 @@
         }
         let job = spec.id.clone();
         let mut record = JobRecord::new(spec, now_ms);
+        record.cancelled = fate == Fate::Cancelled;
+        let may_begin = awaited.is_empty() && !record.cancelled;
+        if !record.spec.awaits.is_empty() && !fits_a_value(&record, state) {
+            return self.refuse_unless_accepted(to, job, "awaits more jobs than a record holds");
+        }
         // With room for some of it, its first start should not wait for a
         // second write; nor where nothing has been started on any machine yet,
         // since then whatever comes up will be for the jobs that come now.
-        if self.has_room_for(&record.spec) || !self.machines.values().any(|m| m.used) {
+        if may_begin && (self.has_room_for(&record.spec) || !self.machines.values().any(|m| m.used)) {
             record.begun = record.spec.tasks;
         }
         let conditions = vec![
@@ -58,10 +98,18 @@
             Change::Put { key: record_key(&job), value: record.encode(state.value_kb), lease: None },
             Change::Put { key: live_key(&job), value: row(Standing::Queued), lease: None },
         ];
+        self.join_needs(&record.spec, now, awaited, fate);
         self.creating.insert(job.clone(), Creating { record, waiting: vec![to] });
         self.commit(Ticket::Create(job), Class::Accept, conditions, changes);
     }
 
+    /// Refuses a job that can never run, unless it was accepted earlier: a retry is never
+    /// judged anew.
+    fn refuse_unless_accepted(&mut self, to: ReplyTo, job: JobId, reason: &str) {
+        let otherwise = Answer::refused(422, reason);
+        self.actions.push(Action::LookUp { to, job, otherwise });
+    }
+
     /// Why no machine will ever take the job.
     fn can_never_run(&self, spec: &JobSpec) -> Option<&'static str> {
         let Some(&team) = self.team_index.get(&spec.team) else { return Some("unknown team") };
@@ -79,19 +127,31 @@
         match result {
             Ok(version) => {
                 self.insert_job(now, record, version);
-                let status = JobStatus { id: job, standing: Standing::Queued, done: 0, running: 0 };
+                if self.dependencies.fate(&job) == Fate::Cancelled {
+                    self.cancel_with_needs(now, &job);
+                    self.try_move(&job);
+                }
+                let Some(status) = self.jobs.get(&job).map(Job::status) else { return };
                 for to in waiting {
                     self.answer(to, Answer::state(201, status.clone(), self.basis()));
                 }
             }
             // It was accepted earlier and is over: the record tells.
             Err(StoreError::Conflict) => {
+                self.dependencies.remove(&job);
                 for to in waiting {
                     let otherwise = Answer::later(503, "try again", 1);
                     self.actions.push(Action::LookUp { to, job: job.clone(), otherwise });
                 }
             }
+            Err(StoreError::Rejected) => {
+                self.dependencies.remove(&job);
+                for to in waiting {
+                    self.refuse_unless_accepted(to, job.clone(), "its description is too large for a record");
+                }
+            }
             Err(_) => {
+                self.dependencies.remove(&job);
                 for to in waiting {
                     self.answer(to, Answer::later(503, "could not be recorded", 1));
                 }
@@ -102,7 +162,7 @@
     /// What the picture says of a job; `None` if the store must be asked.
     pub fn poll(&self, now: Instant, job: &JobId) -> Option<Answer> {
         // Whoever reads the record may know more while a final write is under way.
-        let decided = !self.jobs.get(job)?.is_undecided();
+        let decided = !self.jobs.get(job)?.is_undecided() && self.dependencies.fate(job) != Fate::Undecided;
         if decided { self.from_memory(now, job) } else { None }
     }
 
@@ -113,7 +173,7 @@
         let job = self.jobs.get(job)?;
         // Without the lease another leader may know more; what is final is final in
         // any case.
-        let usable = self.valid(now) || job.record.final_standing().is_some();
+        let usable = self.valid(now) || job.status().standing.is_final();
         usable.then(|| Answer::state(200, job.status(), self.basis()))
     }
 
@@ -127,7 +187,7 @@
             }
             return false;
         };
-        if j.record.final_standing().is_some() {
+        if j.status().standing.is_final() {
             let status = j.status();
             self.answer(to, Answer::final_state(status));
         } else if !valid {
@@ -138,7 +198,8 @@
             let settling = j.writing.as_ref().is_some_and(|w| w.settled);
             if !settling {
                 j.cancel_wanted = true;
-                self.write_record(job);
+                self.dependencies.being_cancelled(job);
+                self.write_record(now, job);
                 // What it runs is of no use from now on, whatever becomes of the
                 // write; and an image that arrives meanwhile starts nothing.
                 self.stop_leftovers(now, job);
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -16,10 +16,10 @@
 use super::answers::{Answer, Basis};
 use super::cloud::{CloudCall, CloudResult};
 use super::demand::{Demand, GroupKey};
+use super::dependencies::Dependencies;
 use super::machine_list::ListRound;
-use super::model::{
-    Job, Machine, Phase, Rental, ReplyTo, Resources, Slot, SlotKey, SlotState, Team, Written,
-};
+use super::model::{Job, Machine, Phase, Rental, ReplyTo, Resources, Slot, SlotKey, SlotState, Team};
+use super::pipelines::NeedStates;
 use super::renting::{Backoff, Offer};
 use super::scheduler::{PromptNeed, Ranked};
 use crate::maps::{HashMap, HashSet};
@@ -29,11 +29,8 @@
 use crate::protocol::jobs::{JobId, JobSpec};
 use crate::protocol::state::{Change, Condition};
 use crate::protocol::workers::{ANSWER_WITHIN, MachineId, Order};
-use crate::settings::Settings;
-use crate::storage::records::{
-    CATALOG, EXPERIENCE, Experience, JobRecord, RentalRecord, block_key, block_size, blocks, live_key,
-    over_key, record_key, rental_key, row,
-};
+use crate::settings::{Settings, StateLimits};
+use crate::storage::records::{CATALOG, EXPERIENCE, Experience, JobRecord, RentalRecord, blocks, rental_key};
 use crate::storage::service::{Class, StoreError, Transaction};
 
 /// What is to be done outside.
@@ -43,6 +40,8 @@
         to: ReplyTo,
         answer: Answer,
     },
+    /// Read the records of jobs that a submission names, and judge it again.
+    ReadNeeds(Box<UnjudgedSubmission>),
     /// Read the job's record: if it exists its standing is the answer.
     LookUp {
         to: ReplyTo,
@@ -67,6 +66,17 @@
     Over(crate::protocol::jobs::JobStatus),
 }
 
+/// A submission that cannot be judged before the records of jobs that it names are read.
+#[derive(Debug, Clone, PartialEq)]
+pub struct UnjudgedSubmission {
+    pub to: ReplyTo,
+    pub spec: JobSpec,
+    /// Those to be read.
+    pub unread: Vec<JobId>,
+    /// What was read before.
+    pub read: NeedStates,
+}
+
 /// What a commit or a call was for.
 #[derive(Debug)]
 pub(super) enum Ticket {
@@ -98,6 +108,8 @@
 #[derive(Debug, Default)]
 pub struct Loaded {
     pub jobs: Vec<LoadedJob>,
+    /// What was read of jobs that those await and that are not among them.
+    pub needs: NeedStates,
     pub rentals: Vec<(RentalRecord, u64)>,
     pub catalog: Option<(Vec<MachineType>, u64)>,
     pub experience: Option<(Experience, u64)>,
@@ -159,6 +171,11 @@
     /// Since when no earlier leader can have answered a worker.
     lapse_windows_over: Option<Instant>,
     pub(super) jobs: HashMap<JobId, Job>,
+    pub(super) dependencies: Dependencies,
+    /// The state service's limits as far as is known.
+    pub(super) state_limits: StateLimits,
+    /// The time of day at a moment of the steady clock.
+    wall_clock: (Instant, u64),
     pub(super) creating: HashMap<JobId, Creating>,
     pub(super) teams: Vec<Team>,
     pub(super) team_index: HashMap<String, usize>,
@@ -198,12 +215,14 @@
     pub(super) tickets: HashMap<u64, Ticket>,
     pub(super) next_ticket: u64,
     /// Jobs with done tasks to be written, the longest waiting first.
-    dirty: VecDeque<(Instant, JobId)>,
+    pub(super) dirty: VecDeque<(Instant, JobId)>,
+    /// Records that the service refuses in every size, and when to try them again.
+    pub(super) refused_records: Vec<(Instant, JobId)>,
     /// When the writing of done tasks was last gone about.
-    flushed_at: Instant,
+    pub(super) flushed_at: Instant,
     /// Jobs whose rows are to follow their records, and moves under way.
-    leaving: VecDeque<JobId>,
-    moving: usize,
+    pub(super) leaving: VecDeque<JobId>,
+    pub(super) moving: usize,
     pub(super) next_attempt: u32,
     pub(super) next_rental: u32,
     pub(super) slow_tick_at: Instant,
@@ -217,7 +236,7 @@
     pub(super) ordered: Vec<MachineId>,
     pub(super) actions: Vec<Action>,
     pub(super) rng: SmallRng,
-    fenced: bool,
+    pub(super) fenced: bool,
 }
 
 impl Leader {
@@ -245,6 +264,9 @@
             loaded_at: now,
             lapse_windows_over: None,
             jobs: HashMap::default(),
+            dependencies: Dependencies::default(),
+            state_limits: config.settings.cluster.state.present(),
+            wall_clock: (now, now_ms),
             creating: HashMap::default(),
             teams,
             team_index,
@@ -276,6 +298,7 @@
             tickets: HashMap::default(),
             next_ticket: 0,
             dirty: VecDeque::new(),
+            refused_records: Vec::new(),
             flushed_at: now,
             leaving: VecDeque::new(),
             moving: 0,
@@ -292,9 +315,6 @@
             fenced: false,
             config,
         };
-        for job in loaded.jobs {
-            leader.insert_loaded(now, now_ms, job);
-        }
         for (record, version) in loaded.rentals {
             let rental = Rental::new(record, version, now);
             leader.rentals.insert(rental.record.request.name.clone(), rental);
@@ -308,10 +328,23 @@
             leader.notes.insert(EXPERIENCE, Note { version, writing: false });
             leader.take_experience(now, experience);
         }
+        leader.insert_all_loaded(now, now_ms, loaded.jobs, &loaded.needs);
         leader.request_catalog();
         leader
     }
 
+    /// The time of day.
+    pub(super) fn wall_ms(&self, now: Instant) -> u64 {
+        let (then, then_ms) = self.wall_clock;
+        let passed = now.saturating_duration_since(then).as_millis();
+        then_ms.saturating_add(u64::try_from(passed).unwrap_or(u64::MAX))
+    }
+
+    /// What the state service's limits are now, as far as is known.
+    pub fn set_state_limits(&mut self, limits: StateLimits) {
+        self.state_limits = limits;
+    }
+
     /// The lease holds until then.
     pub fn extend(&mut self, now: Instant, until: Instant) {
         if now >= self.until {
@@ -505,219 +538,6 @@
         }
     }
 
-    // Records.
-
-    pub(super) fn mark_done(&mut self, now: Instant, job: &JobId, task: u32) {
-        let value_kb = self.config.settings.cluster.state.value_kb;
-        let Some(j) = self.jobs.get_mut(job) else { return };
-        if j.record.final_standing().is_some() || j.is_service() || !j.record.done.insert(task) {
-            return;
-        }
-        j.returned.remove(&task);
-        j.failed_on.clear();
-        j.hold_until = None;
-        if !j.block_versions.is_empty() {
-            j.dirty_blocks.insert(task / block_size(value_kb));
-        }
-        if j.dirty_since.is_none() {
-            j.dirty_since = Some(now);
-            self.dirty.push_back((now, job.clone()));
-        }
-        // A settle is what the user waits for; it does not wait for a batch.
-        if j.record.complete() {
-            self.write_record(job);
-        }
-    }
-
-    /// Writes what has gathered long enough, as far as the state service's
-    /// allowance goes. What users wait for, acceptances and settles, is never to
-    /// queue behind done tasks: with more to write than may be, those gather for
-    /// longer, and go out in fewer, larger batches.
-    fn flush_records(&mut self, now: Instant) {
-        /// The part of the allowance that is for done tasks.
-        const SHARE: f64 = 0.4;
-        let passed = now.saturating_duration_since(self.flushed_at).as_secs_f64().min(1.0);
-        self.flushed_at = now;
-        let most = (self.config.settings.cluster.state.write_rps * SHARE * passed).ceil().max(1.0) as usize;
-        let wait = self.config.tuning.batch;
-        let mut written = 0;
-        for _ in 0..self.dirty.len() {
-            let Some((since, job)) = self.dirty.front().cloned() else { break };
-            if written >= most || now < since + wait {
-                break;
-            }
-            self.dirty.pop_front();
-            // Another write may have taken it along.
-            let Some(j) = self.jobs.get(&job).filter(|j| j.dirty_since == Some(since)) else { continue };
-            if j.writing.is_some() {
-                self.dirty.push_back((since, job));
-                continue;
-            }
-            written += 1;
-            self.write_record(&job);
-        }
-        self.move_rows();
-    }
-
-    /// Has the record say that all the job's tasks may have begun, or of a very
-    /// large one the next few thousand, before the first of them starts.
-    pub(super) fn begin(&mut self, job: &JobId) {
-        const AT_ONCE: u32 = 4096;
-        let Some(j) = self.jobs.get_mut(job) else { return };
-        if j.is_live() && j.record.begun == j.begun && j.begun < j.spec().tasks {
-            j.record.begun = j.spec().tasks.min(j.begun.saturating_add(AT_ONCE));
-            self.write_record(job);
-        }
-    }
-
-    /// Writes a job's record, one write at a time: what changes meanwhile is
-    /// written when this one has ended.
-    pub(super) fn write_record(&mut self, job: &JobId) {
-        let value_kb = self.config.settings.cluster.state.value_kb;
-        let Some(j) = self.jobs.get_mut(job) else { return };
-        if j.writing.is_some() || j.record.final_standing().is_some() {
-            return;
-        }
-        let mut record = j.record.clone();
-        record.settled = record.complete() && !j.cancel_wanted;
-        record.cancelled = j.cancel_wanted;
-        let blocks: Vec<u32> = std::mem::take(&mut j.dirty_blocks).into_iter().collect();
-        let mut conditions = vec![Condition { key: record_key(job), version: j.version }];
-        let mut changes =
-            vec![Change::Put { key: record_key(job), value: record.encode(value_kb), lease: None }];
-        for &block in &blocks {
-            let key = block_key(job, block);
-            let version = j.block_versions.get(block as usize).copied().unwrap_or(0);
-            conditions.push(Condition { key: key.clone(), version });
-            changes.push(Change::Put { key, value: record.encode_block(block, value_kb), lease: None });
-        }
-        let class = match (record.cancelled, record.settled) {
-            (true, _) => Class::Cancel,
-            (_, true) => Class::Settle,
-            // Its tasks wait for nothing but this.
-            _ if record.begun > j.begun => Class::Settle,
-            _ => Class::Progress,
-        };
-        let (cancelled, settled, begun) = (record.cancelled, record.settled, record.begun);
-        j.dirty_since = None;
-        j.writing = Some(Written { cancelled, settled, done: record.done, begun, blocks });
-        self.commit(Ticket::Record(job.clone()), class, conditions, changes);
-    }
-
-    fn recorded(&mut self, now: Instant, job: JobId, result: Result<u64, StoreError>) {
-        let Some(j) = self.jobs.get_mut(&job) else { return };
-        let Some(written) = j.writing.take() else { return };
-        match result {
-            Ok(version) => {
-                j.version = version;
-                for block in written.blocks {
-                    if let Some(v) = j.block_versions.get_mut(block as usize) {
-                        *v = version;
-                    }
-                }
-                j.recorded = written.done;
-                self.prompt_work |= written.begun > j.begun;
-                j.begun = written.begun;
-                j.record.cancelled = written.cancelled;
-                j.cancelled_at = written.cancelled.then_some(now);
-                j.record.settled = written.settled;
-            }
-            Err(StoreError::Fenced) => return,
-            Err(error) => {
-                // Somebody else wrote under our epoch, or the service takes no
-                // such value: neither can be mended by going on.
-                tracing::error!(%job, ?error, "a job's record cannot be written; giving up the epoch");
-                self.fenced = true;
-                return;
-            }
-        }
-        let waiting = std::mem::take(&mut j.withdrawals);
-        let done = j.record.final_standing();
-        let status = j.status();
-        match done {
-            Some(standing) => {
-                tracing::debug!(%job, standing = standing.word(), "job is over");
-                for to in waiting {
-                    self.answer(to, Answer::final_state(status.clone()));
-                }
-                self.stop_leftovers(now, &job);
-                self.try_move(&job);
-            }
-            None => {
-                j.withdrawals = waiting;
-                // A cancellation, the last task or a first start came while
-                // this was written.
-                if j.cancel_wanted || j.record.complete() || j.record.begun > j.begun {
-                    self.write_record(&job);
-                }
-            }
-        }
-    }
-
-    /// Once a job is over and nothing of it is on a machine, its row follows
-    /// the record. Until then it stays among the live, so that a new leader
-    /// knows what its tasks take.
-    pub(super) fn try_move(&mut self, job: &JobId) {
-        let Some(j) = self.jobs.get_mut(job) else { return };
-        if j.record.final_standing().is_none() || j.slots > 0 || j.leaving || j.writing.is_some() {
-            return;
-        }
-        // While some machine has not been heard, a task may still be there.
-        if j.unproven > 0 && !self.recovered {
-            return;
-        }
-        j.leaving = true;
-        self.leaving.push_back(job.clone());
-        self.move_rows();
-    }
-
-    /// Nobody waits for rows: few of their moves are under way at once, so that
-    /// the queue to the state service stays short for others.
-    fn move_rows(&mut self) {
-        let most = self.config.settings.cluster.state.txn_ops;
-        while self.moving < most
-            && let Some(job) = self.leaving.pop_front()
-        {
-            self.move_row(&job);
-        }
-    }
-
-    fn move_row(&mut self, job: &JobId) {
-        let Some(j) = self.jobs.get_mut(job) else { return };
-        let Some(standing) = j.record.final_standing() else { return };
-        if j.slots > 0 {
-            // A machine has shown one more task of it since: once that is gone.
-            j.leaving = false;
-            return;
-        }
-        self.moving += 1;
-        let conditions = vec![
-            Condition { key: live_key(job), version: j.live_version },
-            Condition { key: over_key(job), version: 0 },
-        ];
-        let changes = vec![
-            Change::Put { key: over_key(job), value: row(standing), lease: None },
-            Change::Delete { key: live_key(job) },
-        ];
-        self.commit(Ticket::Move(job.clone()), Class::Rest, conditions, changes);
-    }
-
-    fn moved(&mut self, job: JobId, result: Result<u64, StoreError>) {
-        self.moving = self.moving.saturating_sub(1);
-        match result {
-            Ok(_) => {}
-            Err(StoreError::Fenced) => return,
-            Err(error) => {
-                tracing::error!(%job, ?error, "a row differs from what was read; `audit` tells more")
-            }
-        }
-        self.reserved.remove(&job);
-        if let Some(j) = self.jobs.remove(&job) {
-            self.actions.push(Action::Over(j.status()));
-        }
-        self.move_rows();
-    }
-
     /// Writes a fleet record, one write at a time.
     pub(super) fn write_rental(&mut self, name: &str) {
         let Some(rental) = self.rentals.get_mut(name) else { return };
@@ -745,11 +565,14 @@
 
     /// A new job as the store now has it.
     pub(super) fn insert_job(&mut self, now: Instant, record: JobRecord, version: u64) {
+        let waits = self.dependencies.is_waiting(&record.spec.id);
         let count = blocks(record.spec.tasks, self.config.settings.cluster.state.value_kb);
         let mut job = Job::new(record, version, version, now, count);
         job.team = self.team_index.get(&job.spec().team).copied();
+        job.released = (!waits).then_some(now);
+        job.cancelled_at = job.record.cancelled.then_some(now);
         self.note_prompt_class(job.spec());
-        self.prompt_work |= self.has_prompt_aim(job.spec());
+        self.prompt_work |= !waits && self.has_prompt_aim(job.spec());
         self.jobs.insert(job.id().clone(), job);
         self.queue_at = None;
     }
@@ -825,19 +648,30 @@
     }
 
     /// Takes jobs in that the reconciler brought back among the living.
-    pub fn restore(&mut self, now: Instant, now_ms: u64, jobs: Vec<LoadedJob>) {
-        for job in jobs {
-            let id = job.record.spec.id.clone();
-            if self.jobs.contains_key(&id) {
-                continue;
-            }
-            self.insert_loaded(now, now_ms, job);
+    pub fn restore(&mut self, now: Instant, now_ms: u64, restored: Loaded) {
+        let new = |job: &LoadedJob| !self.jobs.contains_key(&job.record.spec.id);
+        let jobs: Vec<LoadedJob> = restored.jobs.into_iter().filter(new).collect();
+        let ids: Vec<JobId> = jobs.iter().map(|job| job.record.spec.id.clone()).collect();
+        self.insert_all_loaded(now, now_ms, jobs, &restored.needs);
+        for id in ids {
             if let Some(job) = self.jobs.get_mut(&id) {
                 job.not_before = Some(now + self.config.takeover_proof());
             }
         }
     }
 
+    /// Takes in jobs as they were read, all of them before what they wait for.
+    fn insert_all_loaded(&mut self, now: Instant, now_ms: u64, jobs: Vec<LoadedJob>, needs: &NeedStates) {
+        let ids: Vec<JobId> = jobs.iter().map(|job| job.record.spec.id.clone()).collect();
+        for job in jobs {
+            self.insert_loaded(now, now_ms, job);
+        }
+        for id in ids {
+            self.join_loaded_needs(now, now_ms, &id, needs);
+        }
+        self.cancel_loaded_dependents(now);
+    }
+
     fn insert_loaded(&mut self, now: Instant, now_ms: u64, job: LoadedJob) {
         let age = Duration::from_millis(now_ms.saturating_sub(job.record.submitted_ms));
         let submitted = now.checked_sub(age).unwrap_or(now);
--- a/src/coordination/loading.rs
+++ b/src/coordination/loading.rs
@@ -4,11 +4,13 @@
 use tokio::task::JoinSet;
 
 use super::leader::{Loaded, LoadedJob};
+use super::pipelines::{NeedState, NeedStates};
 use super::reconciler::{self, Finding};
+use crate::maps::HashSet;
 use crate::protocol::cloud::decode_catalog;
+use crate::protocol::jobs::{JobId, Standing};
 use crate::storage::records::{
-    CATALOG, EXPERIENCE, Experience, JobRecord, LIVE, OVER, RECORDS, RENTALS, RentalRecord, block_key,
-    blocks, record_key,
+    CATALOG, EXPERIENCE, Experience, JobRecord, LIVE, OVER, RECORDS, RENTALS, RentalRecord, record_key,
 };
 use crate::storage::service::{Class, Store, StoreError};
 
@@ -22,9 +24,9 @@
     epoch: u64,
     from: &str,
     value_kb: f64,
-) -> Result<(String, Vec<LoadedJob>), StoreError> {
+) -> Result<(String, Loaded), StoreError> {
     let (jobs, next) = reconciler::page_of_jobs(store, OVER, from, ROWS_A_ROUND).await?;
-    let mut restored = Vec::new();
+    let mut restored = Loaded::default();
     for job in &jobs {
         let examined = reconciler::examine(store, job).await?;
         if let Finding::Suspect(reason) = examined.finding {
@@ -34,10 +36,11 @@
             tracing::error!(%job, finding = ?examined.finding, "a row differs from its record; repairing it");
             let live_version = store.commit(repair).await?;
             if examined.finding == Finding::Stranded {
-                restored.extend(load_job(store, &record_key(job), live_version, value_kb).await?);
+                restored.jobs.extend(load_job(store, &record_key(job), live_version, value_kb).await?);
             }
         }
     }
+    restored.needs = needs_of(store, &restored.jobs).await?;
     // At the end it begins anew.
     Ok((next.unwrap_or_default(), restored))
 }
@@ -74,9 +77,89 @@
             loaded.jobs.push(job);
         }
     }
+    loaded.needs = needs_of(store, &loaded.jobs).await?;
     Ok(loaded)
 }
 
+/// What the records say of the jobs that these await and that are not among them. A job
+/// that has begun was released before, and its needs are done.
+async fn needs_of(store: &Store, jobs: &[LoadedJob]) -> Result<NeedStates, StoreError> {
+    let among: HashSet<&JobId> = jobs.iter().map(|job| &job.record.spec.id).collect();
+    let waiting = jobs.iter().map(|job| &job.record);
+    let waiting = waiting.filter(|record| record.begun == 0 && record.final_standing().is_none());
+    let needs: HashSet<JobId> = waiting
+        .flat_map(|record| &record.spec.awaits)
+        .filter(|need| !among.contains(need))
+        .cloned()
+        .collect();
+    read_needs(store, needs.into_iter().collect()).await
+}
+
+/// Reads what the records say of jobs that others await.
+pub async fn read_needs(store: &Store, jobs: Vec<JobId>) -> Result<NeedStates, StoreError> {
+    let mut reads = JoinSet::new();
+    for job in jobs {
+        let store = store.clone();
+        reads.spawn(async move {
+            let record = read_record(&store, Class::Accept, &job).await?;
+            Ok((NeedState::of(record.as_ref()), job))
+        });
+    }
+    let mut states = NeedStates::default();
+    while let Some(read) = reads.join_next().await {
+        let (state, job) = read.map_err(|_| StoreError::Unavailable)??;
+        states.insert(job, state);
+    }
+    Ok(states)
+}
+
+/// A job's record; `None` if it was never accepted. One that cannot be read is logged, and
+/// nothing follows from it.
+pub async fn read_record(store: &Store, class: Class, job: &JobId) -> Result<Option<JobRecord>, StoreError> {
+    let Some(entry) = store.get(class, &record_key(job)).await? else { return Ok(None) };
+    match JobRecord::decode(&entry.value) {
+        Ok(record) if record.spec.id == *job => Ok(Some(record)),
+        Ok(_) => {
+            tracing::error!(%job, "a record of another job");
+            Err(StoreError::Rejected)
+        }
+        Err(error) => {
+            tracing::error!(%job, %error, "unreadable record");
+            Err(StoreError::Rejected)
+        }
+    }
+}
+
+/// Whether a job that has not begun is cancelled with one that it needs, directly or not,
+/// by the records alone. At most so many of them are read.
+pub async fn is_cancelled_by_needs(
+    store: &Store,
+    class: Class,
+    record: &JobRecord,
+    most: usize,
+) -> Result<bool, StoreError> {
+    let mut seen: HashSet<JobId> = HashSet::default();
+    let mut unread: Vec<JobId> = record.spec.awaits.clone();
+    if record.begun > 0 {
+        return Ok(false);
+    }
+    while let Some(need) = unread.pop() {
+        if !seen.insert(need.clone()) {
+            continue;
+        }
+        if seen.len() > most {
+            return Err(StoreError::Unavailable);
+        }
+        let Some(record) = read_record(store, class, &need).await? else { continue };
+        match record.final_standing() {
+            Some(Standing::Cancelled) => return Ok(true),
+            None if record.begun == 0 => unread.extend(record.spec.awaits),
+            _ => {}
+        }
+    }
+    Ok(false)
+}
+
 /// Reads one unfinished job; `None` if its record cannot be used.
 async fn load_job(
     store: &Store,
@@ -96,8 +179,9 @@
         }
     };
     let mut block_versions = Vec::new();
-    for block in 0..blocks(record.spec.tasks, value_kb) {
-        let found = store.get(Class::Accept, &block_key(&record.spec.id, block)).await?;
+    let layout = record.layout(value_kb);
+    for block in 0..layout.blocks(record.spec.tasks) {
+        let found = store.get(Class::Accept, &layout.block_key(&record.spec.id, block)).await?;
         block_versions.push(found.as_ref().map_or(0, |b| b.version));
         if let Some(Err(error)) = found.map(|b| record.add_block(&b.value)) {
             tracing::error!(%key, %error, "unreadable block; its tasks run again");
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -17,10 +17,11 @@
 use super::cloud::{Cloud, CloudResult};
 use super::election::Role;
 use super::held_reports::{HeldReport, HeldReports};
-use super::leader::{Action, Config, Leader, Loaded, LoadedJob};
-use super::loading::{load, walk};
+use super::leader::{Action, Config, Leader, Loaded, UnjudgedSubmission};
+use super::loading::{self, load, walk};
 use super::model::ReplyTo;
 use super::peers::{Detour, Detours, PeerState, Peers};
+use super::pipelines::NeedStates;
 use super::sizes::Sizes;
 use super::statistics::Statistics;
 use crate::maps::HashMap;
@@ -28,7 +29,6 @@
 use crate::protocol::jobs::{JobId, JobSpec, JobStatus};
 use crate::protocol::workers::{ANSWER_WITHIN, Report, direct_orders, report_answer, report_elsewhere};
 use crate::protocol::{BODY_LIMIT, HEAD_LIMIT};
-use crate::storage::records::{JobRecord, record_key};
 use crate::storage::service::{Class, Store, StoreError};
 use crate::transport::client::{Call, Prepared};
 use crate::transport::codec::Limits;
@@ -91,13 +91,19 @@
         started: Instant,
         read: RecordRead,
     },
+    /// The records of jobs that a submission names were read; `None`: they cannot be.
+    NeedsRead {
+        epoch: u64,
+        submission: Box<UnjudgedSubmission>,
+        states: Option<NeedStates>,
+    },
     /// Another controller replied to a request that was handed on.
     Forwarded(Box<ForwardedReply>),
     DirectDone,
     Reconciled {
         epoch: u64,
         from: String,
-        restored: Vec<LoadedJob>,
+        restored: Loaded,
     },
     /// Another controller was asked whether it leads; `None`: no answer.
     PeerAnswered {
@@ -346,6 +352,7 @@
                 }
             }
             Inner::LookedUp { look_up, started, read } => self.looked_up(look_up, started, read),
+            Inner::NeedsRead { epoch, submission, states } => self.needs_read(epoch, *submission, states),
             Inner::Forwarded(reply) => self.forwarded(*reply),
             Inner::DirectDone => self.directs -= 1,
             Inner::PeerAnswered { peer, peer_state } => self.peer_answered(now, &peer, peer_state),
@@ -372,6 +379,7 @@
     fn tick(&mut self) {
         let now = Instant::now();
         if let Some(leader) = &mut self.leader {
+            leader.set_state_limits(self.store.limits());
             leader.tick(now);
         }
         self.end_holds();
@@ -483,7 +491,8 @@
         let (store, inner, epoch) = (self.store.clone(), self.inner.clone(), leader.epoch());
         let (from, value_kb) = (self.walk_from.clone(), self.config.settings.cluster.state.value_kb);
         tokio::spawn(async move {
-            let (next, restored) = walk(&store, epoch, &from, value_kb).await.unwrap_or((from, Vec::new()));
+            let (next, restored) =
+                walk(&store, epoch, &from, value_kb).await.unwrap_or((from, Loaded::default()));
             let _ = inner.send(Inner::Reconciled { epoch, from: next, restored }).await;
         });
     }
@@ -510,6 +519,7 @@
         self.answer_held();
         let Some(leader) = &mut self.leader else { return };
         let epoch = leader.epoch();
+        let mut needs = Vec::new();
         for action in leader.take_actions() {
             match action {
                 Action::Answer { to, answer } => {
@@ -522,6 +532,7 @@
                         self.look_up(LookUp { reply, job, absent: otherwise, only_final: false });
                     }
                 }
+                Action::ReadNeeds(submission) => needs.push(submission),
                 Action::Commit { ticket, transaction } => {
                     let (store, inner) = (self.store.clone(), self.inner.clone());
                     tokio::spawn(async move {
@@ -559,6 +570,9 @@
                 Action::Over(status) => self.told.insert(status),
             }
         }
+        for submission in needs {
+            self.read_needs(epoch, submission);
+        }
     }
 }
 
--- a/src/coordination/node/tests.rs
+++ b/src/coordination/node/tests.rs
@@ -1,5 +1,7 @@
 use super::*;
+use crate::coordination::leader::LoadedJob;
 use crate::protocol::jobs::Standing;
+use crate::storage::records::{JobRecord, record_key};
 use crate::storage::stand_in::{StandIn, store};
 use crate::transport::codec::Request;
 use crate::transport::peer::{LeaseNote, PeerHandler};
--- a/src/coordination/node/user_requests.rs
+++ b/src/coordination/node/user_requests.rs
@@ -2,6 +2,8 @@
 //! leads, or answered from the record. Whatever way an answer came, it passes through
 //! [`Node::tell`].
 
+use crate::protocol::jobs::Standing;
+
 use super::*;
 
 /// A user's request about one job.
@@ -229,11 +231,51 @@
         let (store, inner) = (self.store.clone(), self.inner.clone());
         tokio::spawn(async move {
             let started = Instant::now();
-            let read = read_record(&store, &look_up.job).await;
+            let read = read_status(&store, &look_up.job).await;
             let _ = inner.send(Inner::LookedUp { look_up, started, read }).await;
         });
     }
 
+    /// Reads the records of jobs that a submission names.
+    pub(super) fn read_needs(&mut self, epoch: u64, submission: Box<UnjudgedSubmission>) {
+        if self.lookups >= self.sizes.lookups {
+            return self.refuse_submission(submission.to, "too many requests at once");
+        }
+        self.lookups += 1;
+        let (store, inner) = (self.store.clone(), self.inner.clone());
+        tokio::spawn(async move {
+            let read = loading::read_needs(&store, submission.unread.clone());
+            let read = tokio::time::timeout(PATIENCE, read).await;
+            let states = read.ok().and_then(Result::ok);
+            let _ = inner.send(Inner::NeedsRead { epoch, submission, states }).await;
+        });
+    }
+
+    /// The records of jobs that a submission names were read.
+    pub(super) fn needs_read(
+        &mut self,
+        epoch: u64,
+        submission: UnjudgedSubmission,
+        states: Option<NeedStates>,
+    ) {
+        self.lookups -= 1;
+        let now = Instant::now();
+        let UnjudgedSubmission { to, spec, mut read, .. } = submission;
+        match (states, self.leader.as_mut().filter(|leader| leader.epoch() == epoch)) {
+            (Some(states), Some(leader)) => {
+                read.extend(states);
+                leader.submit_knowing(now, wall_ms(), to, spec, read);
+            }
+            _ => self.refuse_submission(to, "awaited jobs cannot be looked up now"),
+        }
+    }
+
+    fn refuse_submission(&mut self, to: ReplyTo, reason: &str) {
+        if let Some(Waiting { reply, job, .. }) = self.waiting.remove(&to) {
+            self.tell(reply, &job, Answer::later(503, reason, 1));
+        }
+    }
+
     /// A record was read. One that is final tells all. Beside one that is not, the
     /// leader's picture may have become final since, and knows what runs.
     pub(super) fn looked_up(&mut self, look_up: LookUp, started: Instant, read: RecordRead) {
@@ -256,26 +298,36 @@
     }
 }
 
-async fn read_record(store: &Store, job: &JobId) -> RecordRead {
-    let key = record_key(job);
-    let read = tokio::time::timeout(POLL_PATIENCE, store.get(Class::Settle, &key)).await;
+/// Records of needs that are read for one answer at most; with more of them to look at,
+/// the user is told to come back.
+const NEEDS_READ: usize = 64;
+
+/// What the records say of a job, within the time that its user waits.
+async fn read_status(store: &Store, job: &JobId) -> RecordRead {
+    let read = tokio::time::timeout(POLL_PATIENCE, status_by_records(store, job)).await;
     match read {
+        Ok(Ok(Some(status))) => RecordRead::Found(status),
         Ok(Ok(None)) => RecordRead::Absent,
-        Ok(Ok(Some(entry))) => match JobRecord::decode(&entry.value) {
-            Ok(record) if record.spec.id == *job => RecordRead::Found(record.status()),
-            Ok(_) => {
-                tracing::error!(%job, "a record of another job");
-                RecordRead::Unreadable
-            }
-            Err(error) => {
-                tracing::error!(%job, %error, "unreadable record");
-                RecordRead::Unreadable
-            }
-        },
+        Ok(Err(StoreError::Rejected)) => RecordRead::Unreadable,
         _ => RecordRead::Unavailable,
     }
 }
 
+/// A job's state by its record and, while it waits for others, by theirs: a job whose need
+/// is cancelled is so too, whether or not a leader has come to write that yet. Else it
+/// would be told cancelled by the leader and queued from here.
+async fn status_by_records(store: &Store, job: &JobId) -> Result<Option<JobStatus>, StoreError> {
+    let class = Class::Settle;
+    let Some(record) = loading::read_record(store, class, job).await? else { return Ok(None) };
+    let mut status = record.status();
+    if !status.standing.is_final()
+        && loading::is_cancelled_by_needs(store, class, &record, NEEDS_READ).await?
+    {
+        status.standing = Standing::Cancelled;
+    }
+    Ok(Some(status))
+}
+
 fn refuse_malformed(error: &Malformed) -> Answer {
     Answer::refused(400, &error.to_string())
 }
--- /dev/null
+++ b/src/coordination/pipelines.rs
@@ -0,0 +1,203 @@
+//! Jobs that wait for others: what a submission may name, who is released when a job is
+//! done, and who is cancelled with one.
+//!
+//! A job is released only once the settle of its last need is committed, so that every
+//! later leader comes to the same verdict. Who depends on whom is the business of
+//! [`super::dependencies`].
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::dependencies::{Entry, Fate, Urgency};
+use super::leader::Leader;
+use super::model::Job;
+use crate::maps::HashMap;
+use crate::protocol::jobs::{Form, JobId, JobSpec, Standing};
+use crate::storage::records::JobRecord;
+
+/// What the store says of a job that another one names.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NeedState {
+    /// Never accepted.
+    Absent,
+    /// A service, which is never done.
+    Service,
+    /// Neither done nor cancelled.
+    Unfinished,
+    /// Done, at that time of day if the record says when.
+    Done {
+        at_ms: Option<u64>,
+    },
+    Cancelled,
+}
+
+/// What was read of the jobs that others name.
+pub type NeedStates = HashMap<JobId, NeedState>;
+
+impl NeedState {
+    /// What a job's record, if it has one, means for those that name it.
+    pub fn of(record: Option<&JobRecord>) -> Self {
+        let Some(record) = record else { return NeedState::Absent };
+        match record.final_standing() {
+            _ if record.spec.form == Form::Service => NeedState::Service,
+            Some(Standing::Done) => NeedState::Done { at_ms: record.settled_ms },
+            Some(_) => NeedState::Cancelled,
+            None => NeedState::Unfinished,
+        }
+    }
+}
+
+/// The needs of a submission as far as they can be judged now.
+#[derive(Debug, PartialEq, Eq)]
+pub(super) enum Needs {
+    /// Known: those that are not over, and whether one is cancelled.
+    Known { awaited: BTreeSet<JobId>, fate: Fate },
+    /// These are not in the picture: their records decide.
+    Unread(Vec<JobId>),
+    /// The job can never run.
+    Impossible(&'static str),
+    /// What a need is cannot be known at present.
+    Unclear(&'static str),
+}
+
+impl Leader {
+    /// Judges the jobs that a submission names, with what was read of those that are not
+    /// in the picture.
+    pub(super) fn judge_needs(&self, spec: &JobSpec, read: &NeedStates) -> Needs {
+        if spec.awaits.contains(&spec.id) {
+            return Needs::Impossible("a job cannot await itself");
+        }
+        let (mut awaited, mut unread, mut fate) = (BTreeSet::new(), Vec::new(), Fate::Open);
+        for need in &spec.awaits {
+            let state = match self.jobs.get(need) {
+                Some(job) if job.cancelled_by_need => Some(NeedState::Cancelled),
+                Some(job) => Some(NeedState::of(Some(&job.record))),
+                None if self.creating.contains_key(need) => {
+                    return Needs::Unclear("an awaited job is being accepted");
+                }
+                None => read.get(need).copied(),
+            };
+            match state {
+                None => unread.push(need.clone()),
+                Some(NeedState::Absent) => return Needs::Impossible("an awaited job was never accepted"),
+                Some(NeedState::Service) => return Needs::Impossible("a service cannot be awaited"),
+                Some(NeedState::Unfinished) if !self.jobs.contains_key(need) => {
+                    return Needs::Unclear("an awaited job is not known yet");
+                }
+                Some(NeedState::Unfinished) => drop(awaited.insert(need.clone())),
+                Some(NeedState::Done { .. }) => {}
+                Some(NeedState::Cancelled) => fate = Fate::Cancelled,
+            }
+        }
+        if unread.is_empty() { Needs::Known { awaited, fate } } else { Needs::Unread(unread) }
+    }
+
+    /// Enters a job's needs, if it has any, into the graph.
+    pub(super) fn join_needs(
+        &mut self,
+        spec: &JobSpec,
+        submitted: Instant,
+        awaited: BTreeSet<JobId>,
+        fate: Fate,
+    ) {
+        if spec.awaits.is_empty() {
+            return;
+        }
+        // Whether it is cancelled with them is known once that is written.
+        let being_cancelled = |need: &JobId| self.jobs.get(need).is_some_and(|job| job.cancel_wanted);
+        let fate = if awaited.iter().any(being_cancelled) { fate.max(Fate::Undecided) } else { fate };
+        let finish_by = spec.deadline_s.map(|s| submitted + Duration::from_secs_f64(s.min(1e7)));
+        let urgency = Urgency { priority: spec.priority, finish_by };
+        let duration = self.expected_duration(spec);
+        self.dependencies.insert(&spec.id, Entry { awaited, fate, urgency, duration });
+    }
+
+    /// How long a job is expected to take from its release to its settle: a report
+    /// interval until its tasks start and their ends are heard, its image, and its run.
+    fn expected_duration(&self, spec: &JobSpec) -> Duration {
+        let fetch_rate = self.catalog.iter().map(|kind| kind.fetch_gb_per_s).fold(0.0, f64::max);
+        let fetch = if fetch_rate > 0.0 { spec.image_gb / fetch_rate } else { 0.0 };
+        let seconds = self.expected_run(spec) + fetch.min(1e4);
+        self.config.settings.cluster.workers.report() + Duration::from_secs_f64(seconds)
+    }
+
+    /// A job is done, and that is committed: those that waited only for it may start.
+    pub(super) fn release_dependents(&mut self, now: Instant, job: &JobId) {
+        let now_ms = self.wall_ms(now);
+        for released in self.dependencies.settled(job) {
+            let Some(j) = self.jobs.get_mut(&released) else { continue };
+            tracing::debug!(job = %released, "released");
+            j.released = Some(now);
+            j.record.released_ms = Some(now_ms);
+            let spec = j.record.spec.clone();
+            self.prompt_work |= self.has_prompt_aim(&spec);
+            self.queue_at = None;
+            // Its first start is near, and needs this.
+            self.begin(now, &released);
+        }
+    }
+
+    /// A job is cancelled, and that is committed: so are those that need it, whatever
+    /// becomes of the writes of their own records. None of them has ever started.
+    pub(super) fn cancel_dependents(&mut self, now: Instant, job: &JobId) {
+        for dependent in self.dependencies.cancelled(job) {
+            self.cancel_with_needs(now, &dependent);
+        }
+    }
+
+    /// Cancels a job since one that it needs is cancelled.
+    pub(super) fn cancel_with_needs(&mut self, now: Instant, job: &JobId) {
+        // One that is being accepted is cancelled as soon as it is.
+        let Some(j) = self.jobs.get_mut(job) else { return };
+        if j.record.final_standing().is_some() {
+            return;
+        }
+        tracing::debug!(%job, "cancelled with a job that it needs");
+        j.cancelled_by_need = true;
+        j.cancel_wanted = true;
+        let waiting = std::mem::take(&mut j.withdrawals);
+        let status = j.status();
+        for to in waiting {
+            self.answer(to, super::answers::Answer::final_state(status.clone()));
+        }
+        self.write_record(now, job);
+    }
+
+    /// Enters what a new leader has read of a job's needs. Those that are neither over nor
+    /// in the picture are waited for: they cannot be judged.
+    pub(super) fn join_loaded_needs(&mut self, now: Instant, now_ms: u64, job: &JobId, read: &NeedStates) {
+        let Some(j) = self.jobs.get(job) else { return };
+        let (spec, submitted) = (j.spec().clone(), j.submitted);
+        if spec.awaits.is_empty() || j.record.final_standing().is_some() {
+            return;
+        }
+        // Only a released job may have begun.
+        let has_begun = j.begun > 0;
+        let (mut awaited, mut fate, mut released_ms) = (BTreeSet::new(), Fate::Open, j.record.released_ms);
+        for need in spec.awaits.iter().filter(|_| !has_begun) {
+            let known = self.jobs.get(need).map(|job| NeedState::of(Some(&job.record)));
+            match known.or_else(|| read.get(need).copied()) {
+                Some(NeedState::Done { at_ms }) => released_ms = released_ms.max(at_ms),
+                Some(NeedState::Cancelled) => fate = Fate::Cancelled,
+                _ => drop(awaited.insert(need.clone())),
+            }
+        }
+        let waits = !awaited.is_empty() || fate == Fate::Cancelled;
+        self.join_needs(&spec, submitted, awaited, fate);
+        let Some(j) = self.jobs.get_mut(job) else { return };
+        let ago = released_ms.map(|at| Duration::from_millis(now_ms.saturating_sub(at)));
+        let released = ago.and_then(|ago| now.checked_sub(ago)).unwrap_or(submitted).max(submitted);
+        j.released = (!waits).then_some(released);
+    }
+
+    /// Finishes what an earlier leader has left: jobs whose needs are cancelled.
+    pub(super) fn cancel_loaded_dependents(&mut self, now: Instant) {
+        let doomed = |job: &&Job| self.dependencies.fate(job.id()) == Fate::Cancelled;
+        let doomed: Vec<JobId> = self.jobs.values().filter(doomed).map(|job| job.id().clone()).collect();
+        for job in doomed {
+            self.cancel_with_needs(now, &job);
+        }
+    }
+}
--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -15,6 +15,7 @@
 use crate::maps::HashMap;
 use crate::protocol::jobs::{JobId, JobSpec, Priority, TaskId};
 use crate::protocol::workers::{MachineId, Order};
+use crate::settings::Objective;
 
 /// A waiting job's place in the queue.
 #[derive(Debug, Clone)]
@@ -68,7 +69,7 @@
                 job: j.id().clone(),
                 starved: self.is_starved(j, now),
                 guaranteed: guaranteed.contains_key(j.id()),
-                priority: j.spec().priority,
+                priority: self.priority(j),
                 due: self.latest_start(j, now),
                 need: Resources::of(j.spec()),
                 spot: j.spec().spot,
@@ -99,7 +100,7 @@
     fn is_starved(&self, job: &Job, now: Instant) -> bool {
         job.active.is_empty()
             && job.record.done.is_empty()
-            && now >= job.submitted + self.config.tuning.begin_within / 2
+            && now >= job.counted_from(now) + self.config.tuning.begin_within / 2
     }
 
     /// A starved job that fits nowhere gets one machine kept clear for it, or
@@ -133,32 +134,59 @@
     /// still be met. With all of them missed it goes behind those for whom
     /// haste still helps, by a boot time, and then by age.
     pub(super) fn latest_start(&self, job: &Job, now: Instant) -> Instant {
-        let next =
-            self.starts_aimed_at(job.spec()).map(|after| job.submitted + after).filter(|&at| at > now).min();
+        let next = self.aimed_starts(job, now).filter(|&at| at > now).min();
         next.unwrap_or_else(|| {
-            let age = now.saturating_duration_since(job.submitted);
+            let age = now.saturating_duration_since(job.counted_from(now));
             now + self.longest_boot().mul_f64(1.0 / (1.0 + age.as_secs_f64() / 600.0))
         })
     }
 
-    /// How long after its submission a job's tasks should have started, by each
-    /// of the users' aims for its class and by its deadline.
-    pub(super) fn starts_aimed_at<'a>(&'a self, spec: &'a JobSpec) -> impl Iterator<Item = Duration> + 'a {
+    /// A job's own priority, or that of a job that needs it.
+    pub(super) fn priority(&self, job: &Job) -> Priority {
+        let own = job.spec().priority;
+        self.dependencies.inherited(job.id()).map_or(own, |inherited| own.max(inherited.priority))
+    }
+
+    /// When a job's tasks should have started, by each of the users' aims for its class,
+    /// by its deadline and by those of the jobs that need it.
+    fn aimed_starts<'a>(&'a self, job: &'a Job, now: Instant) -> impl Iterator<Item = Instant> + 'a {
+        let (spec, released) = (job.spec(), job.counted_from(now));
+        let run = Duration::from_secs_f64(self.expected_run(spec));
+        let after_release = self.starts_after_release(spec).map(move |after| released + after);
+        let by_deadline = self.starts_by_deadline(spec).map(move |after| job.submitted + after);
+        let inherited = self.dependencies.inherited(job.id()).and_then(|urgency| urgency.finish_by);
+        let inherited = inherited.map(move |finish_by| finish_by.checked_sub(run).unwrap_or(finish_by));
+        after_release.chain(by_deadline).chain(inherited)
+    }
+
+    /// How long after its release a job's tasks should have started, by the users' aims
+    /// for its class.
+    pub(super) fn starts_after_release<'a>(
+        &'a self,
+        spec: &'a JobSpec,
+    ) -> impl Iterator<Item = Duration> + 'a {
         let run = self.expected_run(spec);
-        let deadline = spec.deadline_s;
-        let aims = self.config.settings.cluster.objectives.iter().filter_map(move |aim| {
-            if aim.class.as_ref().is_some_and(|c| *c != spec.class) {
-                return None;
-            }
-            match (aim.kind.as_str(), aim.within_s, deadline) {
-                ("wait", Some(within), _) => Some(within),
-                ("finished", Some(within), _) => Some(within - run),
-                ("deadline", _, Some(deadline)) => Some(deadline * aim.times.unwrap_or(1.0) - run),
-                _ => None,
-            }
+        let aims = self.aims_for(spec).filter_map(move |aim| match (aim.kind.as_str(), aim.within_s) {
+            ("wait", Some(within)) => Some(within),
+            ("finished", Some(within)) => Some(within - run),
+            _ => None,
         });
-        let own = deadline.map(|d| d - run);
-        aims.chain(own).filter(|s| s.is_finite()).map(|s| Duration::from_secs_f64(s.clamp(0.0, 1e7)))
+        aims.filter_map(duration_of)
+    }
+
+    /// How long after its submission a job's tasks should have started to meet its
+    /// deadline, and the multiples of it that the users aim at.
+    pub(super) fn starts_by_deadline<'a>(&'a self, spec: &'a JobSpec) -> impl Iterator<Item = Duration> + 'a {
+        let run = self.expected_run(spec);
+        let aims = self.aims_for(spec).filter(|aim| aim.kind == "deadline");
+        let times = aims.map(|aim| aim.times.unwrap_or(1.0)).chain(std::iter::once(1.0));
+        let deadline = spec.deadline_s;
+        times.filter_map(move |times| Some(deadline? * times - run)).filter_map(duration_of)
+    }
+
+    fn aims_for<'a>(&'a self, spec: &'a JobSpec) -> impl Iterator<Item = &'a Objective> + 'a {
+        let aims = self.config.settings.cluster.objectives.iter();
+        aims.filter(|aim| aim.class.as_ref().is_none_or(|class| *class == spec.class))
     }
 
     /// The aims at the job's start that are shorter than a report interval.
@@ -183,7 +211,7 @@
     /// expected to meet it; but one that would have to fetch the image first may miss
     /// it as surely, and then is compared with the others like any other.
     fn starts_promptly(&self, now: Instant, job: &Job, machine: &Machine) -> bool {
-        let waited = now.saturating_duration_since(job.submitted).as_secs_f64();
+        let waited = now.saturating_duration_since(job.counted_from(now)).as_secs_f64();
         let fetch = self.fetch_s(job.spec(), machine);
         if job.is_service() && !job.active.is_empty() && fetch <= 0.0 {
             // One of its replicas is down: each second counts.
@@ -226,14 +254,14 @@
     /// earlier unfinished jobs, with what they may still take.
     fn within_guarantees(&self) -> HashMap<JobId, Resources> {
         let mut by_team: HashMap<usize, Vec<&Job>> = HashMap::default();
-        for job in self.jobs.values().filter(|j| j.is_live()) {
+        for job in self.jobs.values().filter(|j| j.is_live() && !j.is_waiting()) {
             if let Some(team) = job.team.filter(|&t| self.teams[t].guaranteed != Resources::default()) {
                 by_team.entry(team).or_default().push(job);
             }
         }
         let mut found = HashMap::default();
         for (team, mut jobs) in by_team {
-            jobs.sort_by_key(|j| (j.submitted, j.id().clone()));
+            jobs.sort_by_key(|j| (j.released, j.id().clone()));
             let guaranteed = self.teams[team].guaranteed;
             let mut total = Resources::default();
             for job in jobs {
@@ -333,7 +361,7 @@
         let least = if recovered { 0 } else { j.unproven };
         let Some(next) = j.next_pending(least) else { return false };
         if next >= j.begun {
-            self.begin(&ranked.job);
+            self.begin(now, &ranked.job);
             return false;
         }
         let Some(j) = self.jobs.get(&ranked.job) else { return false };
@@ -466,7 +494,7 @@
             }
         }
         for job in due {
-            self.begin(&job);
+            self.begin(now, &job);
         }
     }
 
@@ -550,7 +578,7 @@
             .iter()
             .map(|t| !t.used.fits(&Resources { memory_gb: f64::INFINITY, ..t.guaranteed }))
             .collect();
-        let lowest = self.jobs.values().filter(|j| j.slots > 0).map(|j| j.spec().priority).min();
+        let lowest = self.jobs.values().filter(|j| j.slots > 0).map(|j| self.priority(j)).min();
         self.rank(now);
         // The machines that have room get their chance to report first. A
         // guarantee is less pressing than a priority, and costs equals.
@@ -562,10 +590,13 @@
             let lower = lowest.is_some_and(|lowest| lowest < ranked.priority);
             let borrowed =
                 ranked.guaranteed && over.iter().enumerate().any(|(at, over)| *over && job.team != Some(at));
-            if !(lower || borrowed) || now < job.submitted + report.mul_f64(0.5) || !self.team_has_room(job) {
+            if !(lower || borrowed)
+                || now < job.counted_from(now) + report.mul_f64(0.5)
+                || !self.team_has_room(job)
+            {
                 continue;
             }
-            let patient = now >= job.submitted + report.mul_f64(1.5);
+            let patient = now >= job.counted_from(now) + report.mul_f64(1.5);
             // Room comes free by itself all the time: what is stopped is lost
             // only for an aim that would be missed otherwise.
             let pressing = ranked.due <= now + report.mul_f64(2.5);
@@ -643,12 +674,12 @@
                 }
                 let Some(victim) = self.jobs.get(&key.0) else { continue };
                 let borrowed = slot.team != job.team && slot.team.is_some_and(|t| over[t]);
-                let lower = victim.spec().priority < ranked.priority;
+                let lower = self.priority(victim) < ranked.priority;
                 let may = lower || (ranked.guaranteed && borrowed);
                 // The only one that a job has begun with is left alone.
                 let first = victim.active.len() == 1
                     && victim.record.done.is_empty()
-                    && now >= victim.submitted + self.config.tuning.begin_within / 2;
+                    && now >= victim.counted_from(now) + self.config.tuning.begin_within / 2;
                 if !may || first || victim.is_service() {
                     continue;
                 }
@@ -665,6 +696,11 @@
     }
 }
 
+/// Seconds as a duration, a negative number of them as none.
+fn duration_of(seconds: f64) -> Option<Duration> {
+    seconds.is_finite().then(|| Duration::from_secs_f64(seconds.clamp(0.0, 1e7)))
+}
+
 /// Work that is lost if a task is stopped now.
 fn loss_s(now: Instant, job: &Job, state: SlotState, since: Instant) -> f64 {
     match state {
--- a/src/coordination/tests/overlapping_faults.rs
+++ b/src/coordination/tests/overlapping_faults.rs
@@ -41,6 +41,25 @@
     });
 }
 
+/// Pipelines are cancelled at their first stages, and right after it the leader is lost, the
+/// state service is out, or the leader alone is cut off from it; meanwhile its limits fall.
+#[test]
+fn pipelines_are_cancelled_while_the_leader_or_the_state_service_is_lost() {
+    let cancel = CancelNow { count: 4, hang: 0.0 };
+    let lost = [
+        Crash { controller: None, back: 3.0 },
+        Outage { lasts: 55.0 },
+        Refused { lasts: 60.0, peers: false },
+        Cut { lasts: 60.0, peers: true },
+    ];
+    for fault in lost {
+        let faults = [(40.0, cancel), (40.3, fault), (41.0, LimitsFall), (55.0, cancel), (55.2, fault)];
+        let shape =
+            |controllers| Shape { looks: 1.0, writes: 16.0, ..Shape::busy(controllers).with_pipelines() };
+        meet_in(shape, &faults, |w| w.called_off >= 3 && w.beyond_limits > 0);
+    }
+}
+
 /// A transaction is carried out and only its answer lost, while others read what it wrote.
 #[test]
 fn answers_of_transactions_are_lost_while_controllers_cannot_reach_each_other() {
--- a/src/coordination/tests/simulation/faults.rs
+++ b/src/coordination/tests/simulation/faults.rs
@@ -93,6 +93,8 @@
         controller: Option<usize>,
         lasts: f64,
     },
+    /// The announced limits of the state service come into force, and stay.
+    LimitsFall,
     /// The zone with workers and one controller in it is cut off from everything.
     ZoneCut {
         lasts: f64,
@@ -173,6 +175,11 @@
                 }
             }
             Fault::Burst { jobs } => (0..jobs).for_each(|_| self.arrive(now)),
+            Fault::LimitsFall => {
+                let limits = self.settings.cluster.state.announced();
+                self.state.limit(limits);
+                self.allowance = Some(Bucket::new(limits.write_rps, limits.write_rps, now));
+            }
             Fault::ZoneCut { lasts } => {
                 self.zone_cut_until = until(lasts);
                 let c = &mut self.controllers[1];
--- a/src/coordination/tests/simulation/mod.rs
+++ b/src/coordination/tests/simulation/mod.rs
@@ -35,8 +35,9 @@
 use crate::policy;
 use crate::protocol::cbor::{Fields, MapBuilder, decode, encode, texts};
 use crate::protocol::cloud::{MachineType, encode_catalog};
-use crate::protocol::jobs::{Form, JobSpec, Priority};
+use crate::protocol::jobs::{Form, JobId, JobSpec, Priority};
 use crate::settings::{self, Settings};
+use crate::storage::pacing::Bucket;
 use crate::storage::service;
 use crate::storage::stand_in;
 use crate::transport::client::{Call, ClientError};
@@ -196,6 +197,10 @@
     pub memory_mb: f64,
     /// Most keys in one page of the state service.
     pub page: usize,
+    /// The part of the arrays that await others.
+    pub awaiting: f64,
+    /// Limits of the state service are announced, to hold from [`Fault::LimitsFall`] on.
+    pub limits_fall: bool,
 }
 
 impl Shape {
@@ -210,9 +215,16 @@
             value_kb: settings::tests::sample().cluster.state.value_kb,
             memory_mb: settings::tests::sample().cluster.limits.memory_mb,
             page: 1000,
+            awaiting: 0.0,
+            limits_fall: false,
         }
     }
 
+    /// Many jobs await others, and the state service's limits are going to fall.
+    pub fn with_pipelines(self) -> Self {
+        Shape { awaiting: 0.4, limits_fall: true, ..self }
+    }
+
     /// Tens of small jobs, and users that ask a lot.
     pub fn busy(controllers: usize) -> Self {
         Shape { job_every: 1.0, longest_run: 8.0, looks: 20.0, ..Shape::usual(controllers) }
@@ -244,6 +256,8 @@
     state: stand_in::StoreState,
     renewed: BTreeMap<u64, Instant>,
     outage_until: Instant,
+    /// What is left of the changes that the state service takes, once its limits have fallen.
+    allowance: Option<Bucket>,
     late_writes: (f64, Instant),
     lost_answers: (f64, Instant),
     doubled_writes: (f64, Instant),
@@ -275,6 +289,8 @@
     pub broken: Vec<String>,
     pub starts: usize,
     pub late_changes: usize,
+    /// Transactions refused for the limits that have come into force.
+    pub beyond_limits: usize,
     pub late_copies: usize,
     pub called_off: usize,
     pub lost_leases: usize,
@@ -320,6 +336,14 @@
         settings.cluster.state.write_rps = shape.writes;
         settings.cluster.state.rps = settings.cluster.state.rps.max(shape.writes * 2.5);
         settings.cluster.state.value_kb = shape.value_kb;
+        if shape.limits_fall {
+            settings.cluster.state.next = Some(settings::NextState {
+                rps: None,
+                write_rps: Some(shape.writes * 0.6),
+                value_kb: Some(shape.value_kb / 4.0),
+                txn_ops: Some(4),
+            });
+        }
         settings.cluster.limits.memory_mb = shape.memory_mb;
         settings.cluster.workers.lease_s = 20.0;
         settings.cluster.workers.cancel_s = 45.0;
@@ -347,6 +371,7 @@
             state: stand_in::StoreState::with_pages_of(shape.page),
             renewed: BTreeMap::new(),
             outage_until: begin,
+            allowance: None,
             late_writes: (0.0, begin),
             lost_answers: (0.0, begin),
             doubled_writes: (0.0, begin),
@@ -376,6 +401,7 @@
             broken: Vec::new(),
             starts: 0,
             late_changes: 0,
+            beyond_limits: 0,
             late_copies: 0,
             called_off: 0,
             lost_leases: 0,
--- a/src/coordination/tests/simulation/rules.rs
+++ b/src/coordination/tests/simulation/rules.rs
@@ -35,6 +35,12 @@
         if wrong {
             self.breaks("wrong_place", format!("{}/{} on {name}, zones {zones:?}", key.0, key.1));
         }
+        let unfinished = |need: &JobId| {
+            self.jobs.get(need.as_str()).is_none_or(|job| (job.done.len() as u32) < job.spec.tasks)
+        };
+        if let Some(need) = spec.awaits.iter().find(|need| unfinished(need)) {
+            self.breaks("too_early", format!("{}/{} starts before {need} is done", key.0, key.1));
+        }
         let cancelled = self.settings.cluster.workers.cancellation();
         if told.is_some_and(|at| now > at + cancelled) {
             self.breaks("ran_cancelled", format!("{}/{} starts on {name}", key.0, key.1));
@@ -90,11 +96,13 @@
         for job in self.on_machines().filter_map(|(_, _, key)| self.jobs.get(&key.0)) {
             *used.entry(job.spec.team.as_str()).or_default() += job.spec.cpus;
         }
+        let over = |need: &JobId| self.jobs.get(need.as_str()).is_some_and(|job| job.told.is_some());
         let passed_over = |job: &Job| {
             let spec = &job.spec;
             let waits = job.told.is_none()
                 && job.accepted.is_some()
                 && (job.done.len() as u32) < spec.tasks
+                && spec.awaits.iter().all(over)
                 && !busy.contains(spec.id.as_str());
             let limit = self.settings.cluster.teams.iter().find(|t| t.name == spec.team);
             let limit = limit.map_or(0.0, |t| if t.cpus_max > 0.0 { t.cpus_max } else { f64::INFINITY });
--- a/src/coordination/tests/simulation/state_service.rs
+++ b/src/coordination/tests/simulation/state_service.rs
@@ -55,7 +55,11 @@
         }
         let (share, until) = self.lost_answers;
         let lost = now < until && self.rng.random_bool(share);
+        if !self.is_allowed(now, &request) {
+            return later(reply, Ok(answer(429, &Value::Null)), soon);
+        }
         if let Some((status, body)) = self.state.answer(&request) {
+            self.beyond_limits += usize::from(status == 400);
             self.note_leases(now, &request, status);
             if lost {
                 // Carried out, and others may read it; whoever asked does not hear.
@@ -66,6 +70,21 @@
         }
     }
 
+    /// Whether the changes of a transaction are within the pace that holds.
+    fn is_allowed(&mut self, now: Instant, request: &Request) -> bool {
+        let Some(allowance) = self.allowance.as_mut().filter(|_| request.target == "/commit") else {
+            return true;
+        };
+        let body = decode(&request.body).expect("CBOR");
+        let changes = Fields::of(&body).and_then(|f| f.list("apply")).map_or(0, <[Value]>::len);
+        let allowed = allowance.allows(now, changes as f64, 0.0);
+        if allowed {
+            allowance.spend(changes as f64);
+        }
+        self.beyond_limits += usize::from(!allowed);
+        allowed
+    }
+
     pub(super) fn note_leases(&mut self, now: Instant, request: &Request, status: u16) {
         if request.target == "/leases" && status == 200 {
             if let Some(newest) = self.state.leases().keys().last() {
--- a/src/protocol/jobs.rs
+++ b/src/protocol/jobs.rs
@@ -6,6 +6,7 @@
 use ciborium::value::Value;
 
 use super::cbor::{Fields, Malformed, MapBuilder, texts};
+use crate::maps::HashSet;
 
 /// Most tasks that one job may have.
 pub const MAX_TASKS: u32 = 100_000;
@@ -98,6 +99,22 @@
     pub checkpoint_s: f64,
     pub save_s: f64,
     pub deadline_s: Option<f64>,
+    /// Jobs that have to be done before any task of this one starts, each named once.
+    pub awaits: Vec<JobId>,
+}
+
+/// Reads the jobs that a job waits for. Absent, null and empty mean the same.
+fn awaited_jobs(fields: &Fields<'_>) -> Result<Vec<JobId>, Malformed> {
+    let names = fields.opt_texts("awaits")?.unwrap_or_default();
+    let mut jobs = Vec::with_capacity(names.len());
+    let mut seen: HashSet<JobId> = HashSet::default();
+    for name in &names {
+        let job = JobId::parse(name).ok_or(Malformed::Invalid("awaits"))?;
+        if seen.insert(job.clone()) {
+            jobs.push(job);
+        }
+    }
+    Ok(jobs)
 }
 
 fn name(fields: &Fields<'_>, key: &'static str) -> Result<String, Malformed> {
@@ -155,6 +172,7 @@
             checkpoint_s: f.amount("bookmarkS")?,
             save_s: f.amount("stashS")?,
             deadline_s: f.opt_amount("dueS")?,
+            awaits: awaited_jobs(&f)?,
         })
     }
 
@@ -189,6 +207,10 @@
             .set("bookmarkS", self.checkpoint_s)
             .set("stashS", self.save_s)
             .set_some("dueS", self.deadline_s)
+            .set_some(
+                "awaits",
+                (!self.awaits.is_empty()).then(|| texts(self.awaits.iter().map(JobId::as_str))),
+            )
     }
 }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -96,12 +96,75 @@
     pub cancel_s: f64,
 }
 
+/// What the state service takes at present, and what it will take from some moment on.
 #[derive(Debug, Clone, Deserialize)]
 pub struct State {
     pub rps: f64,
     pub write_rps: f64,
     pub value_kb: f64,
     pub txn_ops: usize,
+    /// Limits that will hold from some moment on, which nobody announces.
+    pub next: Option<NextState>,
+}
+
+/// Limits that the state service will have; those that are not named stay as they are.
+#[derive(Debug, Clone, Deserialize)]
+pub struct NextState {
+    pub rps: Option<f64>,
+    pub write_rps: Option<f64>,
+    pub value_kb: Option<f64>,
+    pub txn_ops: Option<usize>,
+}
+
+/// One set of limits of the state service.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct StateLimits {
+    /// Requests a second.
+    pub rps: f64,
+    /// Puts and deletes a second.
+    pub write_rps: f64,
+    /// Largest value, in KiB.
+    pub value_kb: f64,
+    /// Most puts and deletes in one transaction.
+    pub txn_ops: usize,
+}
+
+impl State {
+    /// The limits that hold when the service begins.
+    pub fn present(&self) -> StateLimits {
+        let State { rps, write_rps, value_kb, txn_ops, .. } = *self;
+        StateLimits { rps, write_rps, value_kb, txn_ops }
+    }
+
+    /// The limits that hold once they have changed; the present ones if none are announced.
+    pub fn announced(&self) -> StateLimits {
+        let present = self.present();
+        let Some(next) = &self.next else { return present };
+        StateLimits {
+            rps: next.rps.unwrap_or(present.rps),
+            write_rps: next.write_rps.unwrap_or(present.write_rps),
+            value_kb: next.value_kb.unwrap_or(present.value_kb),
+            txn_ops: next.txn_ops.unwrap_or(present.txn_ops),
+        }
+    }
+
+    /// What is allowed before and after the limits change.
+    pub fn within_both(&self) -> StateLimits {
+        let (present, announced) = (self.present(), self.announced());
+        StateLimits {
+            rps: present.rps.min(announced.rps),
+            write_rps: present.write_rps.min(announced.write_rps),
+            value_kb: present.value_kb.min(announced.value_kb),
+            txn_ops: present.txn_ops.min(announced.txn_ops),
+        }
+    }
+}
+
+impl StateLimits {
+    /// The largest value in bytes.
+    pub fn value_bytes(&self) -> usize {
+        (self.value_kb * 1024.0) as usize
+    }
 }
 
 #[derive(Debug, Clone, Deserialize)]
@@ -169,6 +232,7 @@
         const POSITIVE: &str = "must be a number above 0";
         const NOT_NEGATIVE: &str = "must be a number of at least 0";
         let c = &self.cluster;
+        let announced = c.state.announced();
         let positive = [
             ("cluster.workers.report_s", c.workers.report_s),
             ("cluster.workers.lease_s", c.workers.lease_s),
@@ -176,6 +240,9 @@
             ("cluster.state.rps", c.state.rps),
             ("cluster.state.write_rps", c.state.write_rps),
             ("cluster.state.value_kb", c.state.value_kb),
+            ("cluster.state.next.rps", announced.rps),
+            ("cluster.state.next.write_rps", announced.write_rps),
+            ("cluster.state.next.value_kb", announced.value_kb),
             ("cluster.cloud.rps", c.cloud.rps),
             ("cluster.quota.core_share", c.limits.cpu_share),
             ("cluster.quota.ram_mb", c.limits.memory_mb),
@@ -196,6 +263,9 @@
         if c.state.txn_ops < 4 {
             return Some(("cluster.state.txn_ops".into(), "must be at least 4"));
         }
+        if announced.txn_ops < 4 {
+            return Some(("cluster.state.next.txn_ops".into(), "must be at least 4"));
+        }
         if c.size == 0 {
             return Some(("cluster.size".into(), "must be at least 1"));
         }
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -64,6 +64,25 @@
     assert_eq!([16, 100, 800, 3200].map(incoming), [8, 78, 734, 2984]);
 }
 
+/// What is announced replaces only what it names; without it, everything stays.
+#[test]
+fn announced_limits_stand_beside_the_present_ones() {
+    let parse = |text: &str| Settings::parse(text, Path::new("s.toml")).map(|s| s.cluster.state);
+    let present = parse(SAMPLE).expect("valid");
+    assert_eq!(present.announced(), present.present());
+    let next = "txn_ops = 12\n[cluster.state.next]\nwrite_rps = 15.0\nvalue_kb = 2.0\nlater = 1";
+    let state = parse(&SAMPLE.replacen("txn_ops = 12", next, 1)).expect("valid");
+    assert_eq!(state.present(), present.present());
+    let announced = StateLimits { write_rps: 15.0, value_kb: 2.0, ..present.present() };
+    assert_eq!(state.announced(), announced);
+    assert_eq!(state.within_both(), announced);
+    let more = SAMPLE.replacen("txn_ops = 12", "txn_ops = 12\nnext = { txn_ops = 40 }", 1);
+    assert_eq!(parse(&more).expect("valid").within_both().txn_ops, 12);
+    let wrong = SAMPLE.replacen("txn_ops = 12", "txn_ops = 12\nnext = { txn_ops = -1 }", 1);
+    let refused = parse(&wrong).expect_err("refused").to_string();
+    assert!(refused.starts_with("s.toml: line 42: field `next`"), "{refused}");
+}
+
 #[test]
 fn errors_name_the_file_and_the_field() {
     let file = Path::new("s.toml");
@@ -80,6 +99,16 @@
             "write_rps = nan",
             "s.toml: field `cluster.state.write_rps` must be a number above 0",
         ),
+        (
+            "txn_ops = 12",
+            "txn_ops = 12\nnext = { value_kb = 0.0 }",
+            "s.toml: field `cluster.state.next.value_kb` must be a number above 0",
+        ),
+        (
+            "txn_ops = 12",
+            "txn_ops = 12\n[cluster.state.next]\ntxn_ops = 3",
+            "s.toml: field `cluster.state.next.txn_ops` must be at least 4",
+        ),
         (
             "cpus_max = 16.0",
             "cpus_max = -1.0",
--- a/src/storage/done_set.rs
+++ b/src/storage/done_set.rs
@@ -36,6 +36,13 @@
         true
     }
 
+    /// Adds those numbers of another set that are from `start` to before `end`.
+    pub fn insert_range(&mut self, other: &DoneSet, start: u32, end: u32) {
+        for n in (start..end.min(self.bound)).filter(|&n| other.contains(n)) {
+            self.insert(n);
+        }
+    }
+
     pub fn len(&self) -> u32 {
         self.count
     }
--- a/src/storage/records.rs
+++ b/src/storage/records.rs
@@ -3,7 +3,9 @@
 //! * `leader`: who leads; its version is the epoch.
 //! * `rec/ID`: a job's record: what was asked for, its cancellation, its
 //!   settle and, for jobs of moderate size, its done tasks.
-//! * `set/ID/N`: the N-th block of done tasks of a larger job.
+//! * `set/ID/N`: the N-th block of done tasks of a larger job, of the size that follows
+//!   from the state service's present limits.
+//! * `set/ID/SIZE-N`: the same, of the size that the job's record names.
 //! * `live/ID`, `over/ID`: a job's summary row; `live/` is what a takeover
 //!   scans, `over/` is history.
 //! * `catalog`: the machine types as last seen.
@@ -34,10 +36,6 @@
     format!("{RECORDS}{job}")
 }
 
-pub fn block_key(job: &JobId, block: u32) -> String {
-    format!("set/{job}/{block}")
-}
-
 pub fn live_key(job: &JobId) -> String {
     format!("{LIVE}{job}")
 }
@@ -64,10 +62,61 @@
     ((value_kb * 1024.0 / 2.0) as u32).saturating_mul(6).max(6)
 }
 
-/// Blocks beside the record; none while the set fits into the record itself.
+/// How a record keeps its done tasks.
+///
+/// The layouts without a name in the record are those of every build so far, which derive
+/// them from the state service's present limits. A record that names its block size is
+/// read wrongly by builds before it; it is written only once the service has refused a
+/// value that its present limits allow, and so after the last of those builds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Layout {
+    /// Within the record.
+    Inline,
+    /// In blocks of so many tasks, by the present limits.
+    Blocks(u32),
+    /// In blocks of so many tasks, as the record says.
+    NamedBlocks(u32),
+}
+
+impl Layout {
+    /// The layout of a record that names none.
+    pub fn derived(tasks: u32, value_kb: f64) -> Self {
+        let size = block_size(value_kb);
+        if tasks <= size { Layout::Inline } else { Layout::Blocks(size) }
+    }
+
+    /// Tasks in one block; `None` where there are no blocks.
+    pub fn block_tasks(self) -> Option<u32> {
+        match self {
+            Layout::Inline => None,
+            Layout::Blocks(size) | Layout::NamedBlocks(size) => Some(size),
+        }
+    }
+
+    /// Blocks beside the record of a job of so many tasks.
+    pub fn blocks(self, tasks: u32) -> u32 {
+        self.block_tasks().map_or(0, |size| tasks.div_ceil(size))
+    }
+
+    /// The first task of a block and the one after its last.
+    pub fn range(self, block: u32) -> (u32, u32) {
+        let size = self.block_tasks().unwrap_or(u32::MAX);
+        let start = block.saturating_mul(size);
+        (start, start.saturating_add(size))
+    }
+
+    /// Where a block is kept.
+    pub fn block_key(self, job: &JobId, block: u32) -> String {
+        match self {
+            Layout::Inline | Layout::Blocks(_) => format!("set/{job}/{block}"),
+            Layout::NamedBlocks(size) => format!("set/{job}/{size}-{block}"),
+        }
+    }
+}
+
+/// Blocks that a record without a named layout has beside it.
 pub fn blocks(tasks: u32, value_kb: f64) -> u32 {
-    let size = block_size(value_kb);
-    if tasks <= size { 0 } else { tasks.div_ceil(size) }
+    Layout::derived(tasks, value_kb).blocks(tasks)
 }
 
 #[derive(Debug, Clone, PartialEq)]
@@ -82,33 +131,61 @@
     /// start beyond it, so a new leader knows which tasks can be on no machine
     /// and need not wait for any.
     pub begun: u32,
+    /// Tasks in each block of done tasks, if the record names it.
+    pub block_tasks: Option<u32>,
+    /// Time of day when the last job that it awaits was done; written with `begun`.
+    pub released_ms: Option<u64>,
+    /// Time of day of its settle.
+    pub settled_ms: Option<u64>,
 }
 
 impl JobRecord {
     pub fn new(spec: JobSpec, submitted_ms: u64) -> Self {
         let done = DoneSet::new(spec.tasks);
-        JobRecord { spec, submitted_ms, cancelled: false, settled: false, done, begun: 0 }
+        JobRecord {
+            spec,
+            submitted_ms,
+            cancelled: false,
+            settled: false,
+            done,
+            begun: 0,
+            block_tasks: None,
+            released_ms: None,
+            settled_ms: None,
+        }
+    }
+
+    /// How it keeps its done tasks, under the state service's present limits.
+    pub fn layout(&self, value_kb: f64) -> Layout {
+        self.block_tasks.map_or_else(|| Layout::derived(self.spec.tasks, value_kb), Layout::NamedBlocks)
     }
 
     pub fn encode(&self, value_kb: f64) -> Value {
-        let inline = blocks(self.spec.tasks, value_kb) == 0;
+        let inline = self.layout(value_kb) == Layout::Inline;
+        let done = inline.then(|| self.done.encode(0, self.spec.tasks));
+        self.fields().set_some("done", done).build()
+    }
+
+    /// The record without its done tasks: all that one needs that is final.
+    pub fn encode_verdict(&self) -> Value {
+        self.fields().build()
+    }
+
+    fn fields(&self) -> MapBuilder {
         MapBuilder::new()
             .set("spec", self.spec.encode().build())
             .set("at", self.submitted_ms)
             .set("cancelled", self.cancelled)
             .set("settled", self.settled)
             .set("begun", self.begun)
-            .set_some("done", inline.then(|| self.done.encode(0, self.spec.tasks)))
-            .build()
+            .set_some("block", self.block_tasks)
+            .set_some("releasedAt", self.released_ms)
+            .set_some("settledAt", self.settled_ms)
     }
 
     pub fn encode_block(&self, block: u32, value_kb: f64) -> Value {
-        let size = block_size(value_kb);
-        let start = block * size;
-        MapBuilder::new()
-            .set("from", start)
-            .set("done", self.done.encode(start, start.saturating_add(size)))
-            .build()
+        let (start, end) = self.layout(value_kb).range(block);
+        MapBuilder::new().set("from", start).set("done", self.done.encode(start, end)).build()
     }
 
     pub fn decode(value: &Value) -> Result<Self, BadRecord> {
@@ -117,6 +194,11 @@
         let mut done = DoneSet::new(spec.tasks);
         // A record of a version that did not say so: any task may have begun.
         let begun = f.opt_count("begun")?.and_then(|n| u32::try_from(n).ok()).unwrap_or(spec.tasks);
+        let block_tasks = f.opt_count("block")?.map(u32::try_from).transpose();
+        let block_tasks = block_tasks.map_err(|_| Malformed::Invalid("block"))?;
+        if block_tasks == Some(0) {
+            return Err(Malformed::Invalid("block").into());
+        }
         if let Some(text) = f.opt_text("done")? {
             done.decode_into(0, text)?;
         }
@@ -127,6 +209,9 @@
             settled: f.bool("settled")?,
             done,
             begun,
+            block_tasks,
+            released_ms: f.opt_count("releasedAt")?,
+            settled_ms: f.opt_count("settledAt")?,
         })
     }
 
@@ -288,3 +373,6 @@
 
 #[cfg(test)]
 mod tests;
+
+#[cfg(test)]
+pub mod production_tests;
--- a/src/storage/records/tests.rs
+++ b/src/storage/records/tests.rs
@@ -33,6 +33,28 @@
     assert_eq!(JobRecord::decode(&value).expect("readable"), record);
 }
 
+/// A record that names its blocks keeps them apart from those that it had before.
+#[test]
+fn a_named_layout_is_read_back_under_any_limits() {
+    let spec = sample("job-1", "red", 100, 1.0);
+    let mut record = JobRecord { block_tasks: Some(48), ..JobRecord::new(spec, 7) };
+    (0..100).step_by(7).for_each(|task| assert!(record.done.insert(task)));
+    for value_kb in [0.01, 8.0] {
+        let layout = record.layout(value_kb);
+        assert_eq!(layout, Layout::NamedBlocks(48));
+        let mut back = JobRecord::decode(&record.encode(value_kb)).expect("readable");
+        let keys: Vec<String> =
+            (0..layout.blocks(100)).map(|n| layout.block_key(&record.spec.id, n)).collect();
+        assert_eq!(keys, ["set/job-1/48-0", "set/job-1/48-1", "set/job-1/48-2"]);
+        for block in 0..3 {
+            back.add_block(&record.encode_block(block, value_kb)).expect("readable");
+        }
+        assert_eq!(back, record);
+    }
+    let none = MapBuilder::new().set("spec", record.spec.encode().build()).set("block", 0).build();
+    assert!(JobRecord::decode(&none).is_err());
+}
+
 #[test]
 fn experience_is_read_back_as_written() {
     let group = GroupExperience { types: vec!["m8".into()], mean: 2.5, spot: true, ..Default::default() };
--- a/src/storage/service.rs
+++ b/src/storage/service.rs
@@ -9,12 +9,13 @@
 use std::time::Duration;
 
 use ciborium::value::Value;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 
 pub use actor::start;
 
 use crate::protocol::cbor::{MapBuilder, decode, json_size};
 use crate::protocol::state::{Change, Condition, Entry, Page, decode_entry, decode_page};
+use crate::settings::StateLimits;
 use crate::transport::client::{Call, ClientError};
 use crate::transport::codec::Response;
 
@@ -81,9 +82,15 @@
 pub struct Store {
     requests: mpsc::Sender<Request>,
     deadline: Duration,
+    limits: watch::Receiver<StateLimits>,
 }
 
 impl Store {
+    /// The service's limits as far as is known.
+    pub fn limits(&self) -> StateLimits {
+        *self.limits.borrow()
+    }
+
     pub async fn raw(&self, class: Class, call: Call) -> Raw {
         let (reply, answer) = oneshot::channel();
         if self.requests.send(Request::Raw { class, call, reply }).await.is_err() {
--- a/src/storage/service/actor.rs
+++ b/src/storage/service/actor.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use ciborium::value::Value;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
 
 use super::{CLASSES, Class, MARK, Pending, Raw, Request, Store, StoreError};
@@ -14,7 +14,7 @@
 use crate::protocol::state::{
     Change, Condition, decode_committed, decode_entry, decode_refused, encode_commit,
 };
-use crate::settings::State;
+use crate::settings::{State, StateLimits};
 use crate::storage::pacing::{Bucket, Complaints};
 use crate::storage::records::LEADER;
 use crate::transport::client::{Call, ClientError, Connection, Pool, Prepared};
@@ -39,7 +39,12 @@
     requests: Bucket,
     writes: Bucket,
     in_flight: usize,
-    limits: State,
+    /// Most changes in one transaction, before and after the limits change.
+    txn_ops: usize,
+    share: Share,
+    /// The limits that will hold at some time, and those that hold as far as is known.
+    announced: StateLimits,
+    in_force: watch::Sender<StateLimits>,
     deadline: Duration,
     /// After a refusal nothing but renewals is sent until then.
     pause_until: Instant,
@@ -51,39 +56,56 @@
 /// whole goes to each controller that does not lead.
 const FOLLOWER_RATIO: f64 = 0.07;
 
+/// A little below the allowance, as the service's clock is not ours.
+const PACE_RATIO: f64 = 0.92;
+/// Part of a second's allowance that may be spent at once.
+const BURST_RATIO: f64 = 0.8;
+
+/// The part of the service's allowance that this controller takes.
+#[derive(Debug, Clone, Copy)]
+struct Share {
+    controllers: u32,
+    leading: bool,
+}
+
+impl Share {
+    fn ratio(self) -> f64 {
+        let others = f64::from(self.controllers.max(1) - 1).min(8.0);
+        let ratio = if self.leading { 1.0 - FOLLOWER_RATIO * others } else { FOLLOWER_RATIO };
+        ratio * PACE_RATIO
+    }
+
+    fn bucket(self, rate: f64) -> Bucket {
+        let rate = rate * self.ratio();
+        Bucket::new(rate, (rate * BURST_RATIO).max(4.0), Instant::now())
+    }
+}
+
 /// Starts the actor.
 pub fn start(
     address: std::net::SocketAddr,
-    limits: State,
+    state: State,
     controllers: u32,
     deadline: Duration,
     mut leads: tokio::sync::watch::Receiver<bool>,
 ) -> Store {
     let (requests, mut inbox) = mpsc::channel(256);
     let (done, mut finished) = mpsc::channel(64);
-    let now = Instant::now();
-    let rates = move |leading: bool, limits: &State| {
-        let share = if leading {
-            1.0 - FOLLOWER_RATIO * f64::from(controllers.max(1) - 1).min(8.0)
-        } else {
-            FOLLOWER_RATIO
-        };
-        // A little below, as the service's clock is not ours.
-        let share = share * 0.92;
-        let now = Instant::now();
-        let bucket = |rate: f64| Bucket::new(rate * share, (rate * share * 0.8).max(4.0), now);
-        (bucket(limits.rps), bucket(limits.write_rps))
-    };
-    let (request_bucket, write_bucket) = rates(false, &limits);
+    let share = Share { controllers, leading: false };
+    let present = state.present();
+    let (in_force, limits) = watch::channel(present);
     let mut actor = Actor {
         pool: Pool::new(address, LIMITS, IN_FLIGHT),
         queues: Default::default(),
-        requests: request_bucket,
-        writes: write_bucket,
+        requests: share.bucket(present.rps),
+        writes: share.bucket(present.write_rps),
         in_flight: 0,
-        limits,
+        txn_ops: state.within_both().txn_ops,
+        share,
+        announced: state.announced(),
+        in_force,
         deadline,
-        pause_until: now,
+        pause_until: Instant::now(),
         complaints: Complaints::default(),
         done,
     };
@@ -96,7 +118,7 @@
                 changed = leads.changed() => {
                     if changed.is_err() { return }
                     let leading = *leads.borrow_and_update();
-                    (actor.requests, actor.writes) = rates(leading, &actor.limits);
+                    actor.take_share(Share { controllers, leading });
                 }
                 Some(done) = finished.recv() => actor.finished(done),
                 request = inbox.recv(), if actor.queued() < 512 => match request {
@@ -107,7 +129,7 @@
             }
         }
     });
-    Store { requests, deadline }
+    Store { requests, deadline, limits }
 }
 
 impl Request {
@@ -124,6 +146,28 @@
         self.queues.iter().map(VecDeque::len).sum()
     }
 
+    fn take_share(&mut self, share: Share) {
+        let limits = *self.in_force.borrow();
+        self.share = share;
+        self.requests = share.bucket(limits.rps);
+        self.writes = share.bucket(limits.write_rps);
+    }
+
+    /// A refusal of what the present limits allow is the only notice that the announced
+    /// ones have come into force. They stay.
+    fn note_refusal(&mut self, status: u16) {
+        let refused = matches!(status, 400 | 429);
+        if !refused || *self.in_force.borrow() == self.announced {
+            return;
+        }
+        tracing::info!(status, limits = ?self.announced, "the state service's announced limits hold now");
+        self.in_force.send_replace(self.announced);
+        self.take_share(self.share);
+        // What was allowed until now may be spent already.
+        self.requests.empty();
+        self.writes.empty();
+    }
+
     fn enqueue(&mut self, request: Request) {
         self.queues[request.class() as usize].push_back(request);
     }
@@ -199,9 +243,8 @@
                         Request::Commit(next)
                             if !next.alone
                                 && next.transaction.epoch == epoch
-                                && ops + next.transaction.changes.len() <= self.limits.txn_ops
-                                && conditions + next.transaction.conditions.len()
-                                    <= self.limits.txn_ops * 4
+                                && ops + next.transaction.changes.len() <= self.txn_ops
+                                && conditions + next.transaction.conditions.len() <= self.txn_ops * 4
                                 && bytes + next.size <= COMMIT_BYTES
                                 && self.writes.allows(
                                     now,
@@ -237,6 +280,11 @@
         match done {
             Done::Raw { reply, result, connection, long } => {
                 self.in_flight -= usize::from(!long);
+                if let Ok(response) = &result
+                    && response.status == 429
+                {
+                    self.note_refusal(429);
+                }
                 self.pool.put_back(connection);
                 let _ = reply.send(result);
             }
@@ -254,6 +302,9 @@
     }
 
     fn settle(&mut self, items: Vec<Pending>, result: Raw) {
+        if let Ok(response) = &result {
+            self.note_refusal(response.status);
+        }
         match commit_outcome(&result) {
             Outcome::Done(revision) => {
                 for item in items {
--- a/src/transport/peer/tests.rs
+++ b/src/transport/peer/tests.rs
@@ -1,6 +1,7 @@
 use prost::Message;
 
 use super::*;
+use crate::storage::records::production_tests::bytes;
 
 #[test]
 fn what_is_left_of_a_lease_comes_through_and_is_never_longer() {
@@ -31,3 +32,26 @@
         assert_eq!(received(reply), None, "{status}");
     }
 }
+
+/// What the build before pipelines (commit 652c9af) sends is read, and what it is sent is
+/// what it would send itself.
+#[test]
+fn messages_of_the_build_before_are_read_and_written_alike() {
+    macro_rules! sent {
+        ($name:literal) => {
+            bytes(include_str!(concat!("production/", $name, ".hex")))
+        };
+    }
+    fn check<M: Message + Default + PartialEq + std::fmt::Debug>(sent: &[u8], expected: &M) {
+        assert_eq!(&M::decode(sent).expect("a message"), expected);
+        assert_eq!(expected.encode_to_vec(), sent);
+    }
+    check(&sent!("peer-submit"), &SubmitRequest { body: vec![0xa0], relay: true });
+    check(&sent!("peer-job"), &JobRequest { job: "job-000412".into(), relay: true });
+    check(&sent!("peer-report"), &ReportRequest { body: vec![0xa0] });
+    let lease = Some(LeaseNote { epoch: 7, left: Duration::from_millis(1234) });
+    let reply = PeerReply { status: 200, body: vec![0x2a], retry_after_s: None, lease };
+    check(&sent!("peer-reply"), &Reply::from(reply));
+    let later = PeerReply { status: 503, body: vec![0xa0], retry_after_s: Some(3), lease: None };
+    check(&sent!("peer-reply-later"), &Reply::from(later));
+}
