--- a/src/coordination/intake.rs
+++ b/src/coordination/intake.rs
@@ -126,6 +126,8 @@
         let Some(Creating { record, waiting }) = self.creating.remove(&job) else { return };
         match result {
             Ok(version) => {
+                let waited_ms = self.wall_ms(now).saturating_sub(record.submitted_ms);
+                tracing::debug!(%job, waited_ms, "accepted");
                 self.insert_job(now, record, version);
                 if self.dependencies.fate(&job) == Fate::Cancelled {
                     self.cancel_with_needs(now, &job);
--- a/src/storage/pacing.rs
+++ b/src/storage/pacing.rs
@@ -31,6 +31,11 @@
         self.level + 1e-9 >= (amount + reserve).min(self.burst)
     }
 
+    /// The most that can gather.
+    pub fn burst(&self) -> f64 {
+        self.burst
+    }
+
     /// Begins anew without any allowance gathered.
     pub fn empty(&mut self) {
         self.level = self.level.min(0.0);
--- a/src/storage/service/actor.rs
+++ b/src/storage/service/actor.rs
@@ -61,6 +61,23 @@
 /// Part of a second's allowance that may be spent at once.
 const BURST_RATIO: f64 = 0.8;
 
+/// The parts of the burst that settles leave to acceptances and cancellations, and that
+/// everything after settles leaves to those.
+const SETTLE_RESERVE: f64 = 0.6;
+const PROGRESS_RESERVE: f64 = 0.8;
+
+/// Changes that a class leaves in an allowance with such a burst for those before it. What
+/// nobody waits for would otherwise use all of it up as it comes, and each acceptance would
+/// wait until the allowance has refilled by what it takes.
+pub(super) fn write_reserve(class: usize, burst: f64) -> f64 {
+    match class {
+        _ if class == Class::Renewal as usize => 0.0,
+        _ if class < Class::Settle as usize => 1.0,
+        _ if class == Class::Settle as usize => burst * SETTLE_RESERVE,
+        _ => burst * PROGRESS_RESERVE,
+    }
+}
+
 /// The part of the service's allowance that this controller takes.
 #[derive(Debug, Clone, Copy)]
 struct Share {
@@ -198,7 +215,7 @@
                 Request::Raw { .. } => 0.0,
                 Request::Commit(pending) => pending.transaction.changes.len() as f64,
             };
-            let write_reserve = if renewal || writes == 0.0 { 0.0 } else { 1.0 };
+            let write_reserve = if writes == 0.0 { 0.0 } else { write_reserve(class, self.writes.burst()) };
             if !self.writes.allows(now, writes, write_reserve) {
                 return Some(self.writes.wait(writes, write_reserve).max(Duration::from_millis(2)));
             }
@@ -236,7 +253,9 @@
             (first.transaction.changes.len(), first.transaction.conditions.len() + 1, first.size);
         let mut items = vec![first];
         if !items[0].alone {
-            for queue in &mut self.queues {
+            let reserves: [f64; CLASSES] =
+                std::array::from_fn(|class| write_reserve(class, self.writes.burst()));
+            for (queue, reserve) in self.queues.iter_mut().zip(reserves) {
                 let mut rest = VecDeque::new();
                 while let Some(request) = queue.pop_front() {
                     match request {
@@ -249,7 +268,7 @@
                                 && self.writes.allows(
                                     now,
                                     (ops + next.transaction.changes.len()) as f64,
-                                    1.0,
+                                    reserve.max(1.0),
                                 ) =>
                         {
                             ops += next.transaction.changes.len();
--- a/src/storage/service/tests.rs
+++ b/src/storage/service/tests.rs
@@ -1,9 +1,11 @@
 use tokio::time::Instant;
 
+use super::actor::write_reserve;
 use super::*;
+use crate::settings::{NextState, State};
 use crate::storage::pacing::{Bucket, Complaints};
 use crate::storage::records::LEADER;
-use crate::storage::stand_in::{Script, StandIn, put, store};
+use crate::storage::stand_in::{Script, StandIn, limits, put, store, store_within};
 
 async fn rig(script: &[Script]) -> (Store, StandIn) {
     let stand_in = StandIn::start(script).await;
@@ -49,6 +51,56 @@
     assert!(commits.iter().all(|&ops| ops <= 4) && commits.len() < 10, "{commits:?}");
 }
 
+/// A steady stream of done tasks and settles takes the allowance as it refills: two jobs
+/// submitted together are still accepted at once.
+#[test]
+fn acceptances_find_an_allowance_beside_a_stream_of_other_writes() {
+    let mut now = Instant::now();
+    let mut writes = Bucket::new(12.0, 9.6, now);
+    let mut written = 0;
+    for _ in 0..1000 {
+        now += Duration::from_millis(10);
+        for class in [Class::Settle, Class::Progress] {
+            while writes.allows(now, 1.0, write_reserve(class as usize, writes.burst())) {
+                writes.spend(1.0);
+                written += 1;
+            }
+        }
+    }
+    assert!(written > 110, "nothing of the pace is lost: {written}");
+    assert!(writes.allows(now, 4.0, write_reserve(Class::Accept as usize, writes.burst())));
+}
+
+/// The only notice of the limits that come is a refusal of what was allowed until then.
+#[tokio::test]
+async fn a_refusal_brings_the_announced_limits_into_force() {
+    let (_, stand_in) = rig(&[]).await;
+    let next = NextState { rps: None, write_rps: Some(9_000.0), value_kb: Some(1.0), txn_ops: Some(2) };
+    let state = State { next: Some(next), ..limits(4) };
+    let store = store_within(stand_in.address(), state.clone());
+    let large = |key: &str| {
+        let value = MapBuilder::new().set("text", "x".repeat(2000)).build();
+        let changes = vec![Change::Put { key: key.into(), value, lease: None }];
+        Transaction { changes, ..put(7, key, 0) }
+    };
+    assert!(store.commit(large("a")).await.is_ok());
+    assert_eq!(store.limits(), state.present());
+    stand_in.limit(state.announced()).await;
+    assert!(store.get(Class::Accept, "a").await.is_ok_and(|entry| entry.is_some()), "still readable");
+    let mut tasks = tokio::task::JoinSet::new();
+    for n in 0..6 {
+        let (store, large) = (store.clone(), large(&format!("k{n}")));
+        let transaction = if n == 3 { large } else { put(7, &format!("k{n}"), 0) };
+        tasks.spawn(async move { (n, store.commit(transaction).await) });
+    }
+    while let Some(result) = tasks.join_next().await {
+        let (n, result) = result.expect("no panic");
+        assert_eq!(result.is_err(), n == 3, "only what is too large itself is refused: {n} {result:?}");
+    }
+    assert_eq!(store.limits(), state.announced());
+    assert!(stand_in.commit_sizes().await.iter().all(|&changes| changes <= 2));
+}
+
 #[tokio::test]
 async fn a_scan_reads_all_pages() {
     let (store, stand_in) = rig(&[]).await;
--- a/src/storage/stand_in.rs
+++ b/src/storage/stand_in.rs
@@ -57,6 +57,7 @@
     Http(Request, oneshot::Sender<Response>),
     Seed(String, Value, u64),
     Commits(oneshot::Sender<Vec<usize>>),
+    Limit(StateLimits),
 }
 
 /// Speaks to the stand-in; it ends with the test's runtime.
@@ -96,6 +97,7 @@
                         state.revision = state.revision.max(version);
                         state.entries.insert(key, Stored { value, version, lease: None });
                     }
+                    Ask::Limit(limits) => state.limit(limits),
                     Ask::Commits(reply) => drop(reply.send(state.commits.clone())),
                 }
             }
@@ -118,6 +120,11 @@
         assert!(self.asks.send(Ask::Seed(key.to_owned(), value, version)).await.is_ok());
     }
 
+    /// From now on values and transactions beyond these limits are refused.
+    pub async fn limit(&self, limits: StateLimits) {
+        assert!(self.asks.send(Ask::Limit(limits)).await.is_ok());
+    }
+
     /// How many changes each commit asked for.
     pub async fn commit_sizes(&self) -> Vec<usize> {
         let (reply, answer) = oneshot::channel();
@@ -289,7 +296,16 @@
 
 /// The real actor, against the stand-in.
 pub fn store(address: SocketAddr, txn_ops: usize) -> Store {
-    let limits = State { rps: 10_000.0, write_rps: 10_000.0, value_kb: 8.0, txn_ops, next: None };
+    store_within(address, limits(txn_ops))
+}
+
+/// Limits that tests do not reach but for the size of transactions.
+pub fn limits(txn_ops: usize) -> State {
+    State { rps: 10_000.0, write_rps: 10_000.0, value_kb: 8.0, txn_ops, next: None }
+}
+
+/// The real actor under these limits, against the stand-in.
+pub fn store_within(address: SocketAddr, limits: State) -> Store {
     let (leads, leading) = tokio::sync::watch::channel(true);
     // The actor would stop if this end were dropped.
     std::mem::forget(leads);
