Let memories follow the sockets, and play four thousand machines in a test

Fixed numbers that a fleet of 4,000 machines passes: 1,024 deleted machines remembered (a late copy of a report would have entered a deleted machine anew) and 4,096 workers sent to the leader; both now follow from the sockets. Records of rentals and of machines found hold as many names as fit a value under both sets of limits. Whether all machines are known goes on where it stopped instead of walking the fleet for each first report of a takeover; the stops of a job that is over go to its own machines.

`status` shows jobs that wait for others, records with named blocks and both sets of limits; `check` prints the limits; `audit` counts waiting jobs and named layouts, and reports a job that awaits one without a record.

Tests: 4,100 machines taken over, used, listed, returned and rented anew, each message within its limits; audit and limits as printed.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -22,7 +22,7 @@
 use crate::policy::Tuning;
 use crate::protocol::cbor::decode;
 use crate::protocol::{BODY_LIMIT, HEAD_LIMIT};
-use crate::settings::Settings;
+use crate::settings::{Settings, State, StateLimits};
 use crate::storage::records::LEADER;
 use crate::storage::service;
 use crate::transport::client::{Call, Prepared};
@@ -82,8 +82,9 @@
     };
     match (arguments.command, arguments.config) {
         (Some(Command::Check { file, policy }), _) => match read_input(&file, policy.as_deref()) {
-            Ok(_) => {
+            Ok(config) => {
                 println!("{}: ok", file.display());
+                println!("{}", describe_limits(&config.settings.cluster.state));
                 if let Some(policy) = policy {
                     println!("{}: ok", policy.display());
                 }
@@ -107,6 +108,21 @@
     }
 }
 
+/// The state service's limits, and those that will hold.
+fn describe_limits(state: &State) -> String {
+    let describe = |limits: StateLimits| {
+        format!(
+            "{} requests and {} changes a second, values up to {} KiB, {} changes a transaction",
+            limits.rps, limits.write_rps, limits.value_kb, limits.txn_ops
+        )
+    };
+    let present = describe(state.present());
+    match state.next {
+        Some(_) => format!("state service: {present}; later: {}", describe(state.announced())),
+        None => format!("state service: {present}"),
+    }
+}
+
 /// Reads settings and policy; says in one line what is wrong with them.
 fn read_input(file: &Path, policy: Option<&Path>) -> Result<Config, ExitCode> {
     let complain = |error: &dyn std::fmt::Display| {
@@ -160,10 +176,12 @@
     } else {
         None
     };
-    let (mut jobs, mut open) = (0, 0);
+    let (mut jobs, mut open, mut waiting, mut named) = (0, 0, 0, 0);
     for job in reconciler::all_jobs(&store).await.map_err(unavailable)? {
         jobs += 1;
         let examined = reconciler::examine(&store, &job).await.map_err(unavailable)?;
+        waiting += u32::from(examined.waits);
+        named += u32::from(examined.names_blocks);
         let what = match examined.finding {
             Finding::Consistent => continue,
             Finding::RowBehind(standing) => {
@@ -182,6 +200,10 @@
     if epoch.is_some() {
         release(&store).await;
     }
+    if waiting + named > 0 {
+        writeln!(out, "{waiting} jobs wait for others, {named} records name their blocks")
+            .map_err(unwritable)?;
+    }
     writeln!(out, "{jobs} jobs, {open} inconsistent").map_err(unwritable)?;
     Ok(if open == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
--- a/src/cli/tests.rs
+++ b/src/cli/tests.rs
@@ -1,6 +1,7 @@
 use super::*;
 use crate::protocol::jobs::tests::sample;
 use crate::protocol::jobs::{JobId, Standing};
+use crate::settings::NextState;
 use crate::storage::records::{JobRecord, live_key, over_key, record_key, row};
 use crate::storage::stand_in::{StandIn, store};
 
@@ -81,6 +82,43 @@
     );
 }
 
+/// A job that waits for one that nobody knows would wait for ever; layouts are counted.
+#[tokio::test]
+async fn audit_shows_needs_and_layouts() {
+    let world = StandIn::start(&[]).await;
+    let id = |text: &str| JobId::parse(text).expect("valid");
+    for (n, (name, need, block_tasks)) in
+        [("job-1", None, Some(6)), ("job-2", Some("job-1"), None), ("job-3", Some("job-404"), None)]
+            .into_iter()
+            .enumerate()
+    {
+        let mut spec = sample(name, "red", 1, 1.0);
+        spec.awaits = need.map(id).into_iter().collect();
+        let record = JobRecord { block_tasks, ..JobRecord::new(spec, 0) };
+        let version = 10 + 10 * n as u64;
+        world.seed(&record_key(&id(name)), record.encode(8.0), version).await;
+        world.seed(&live_key(&id(name)), row(Standing::Queued), version + 1).await;
+    }
+    let (out, _) = audited(&world, false).await;
+    assert_eq!(
+        out,
+        "job-3: it awaits a job without a record; left alone\n\
+         2 jobs wait for others, 1 records name their blocks\n\
+         3 jobs, 1 inconsistent\n"
+    );
+}
+
+#[test]
+fn both_sets_of_limits_are_described() {
+    let mut state = crate::settings::tests::sample().cluster.state;
+    let present = "100 requests and 20 changes a second, values up to 8 KiB, 12 changes a transaction";
+    assert_eq!(describe_limits(&state), format!("state service: {present}"));
+    let next = NextState { rps: None, write_rps: Some(15.0), value_kb: Some(2.0), txn_ops: Some(4) };
+    state.next = Some(next);
+    let later = "100 requests and 15 changes a second, values up to 2 KiB, 4 changes a transaction";
+    assert_eq!(describe_limits(&state), format!("state service: {present}; later: {later}"));
+}
+
 #[test]
 fn bad_arguments_and_files_exit_with_2() {
     let exit = |args: &[&str]| format!("{:?}", main(["shedtally"].iter().chain(args).map(OsString::from)));
--- a/src/coordination/agents.rs
+++ b/src/coordination/agents.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 
 use super::leader::Leader;
-use super::model::{Phase, Resources, SlotKey, SlotState};
+use super::model::{Machine, Phase, Resources, SlotKey, SlotState};
 use crate::maps::HashSet;
 use crate::protocol::jobs::{JobId, TaskId};
 use crate::protocol::workers::{ExitCause, MachineId, Order, Report, TaskReport, TaskState};
@@ -472,14 +472,17 @@
     /// The job is over: whatever runs of it is of no use.
     pub(super) fn stop_leftovers(&mut self, now: Instant, job: &JobId) {
         let Some(j) = self.jobs.get(job) else { return };
-        if j.slots == 0 {
-            return;
-        }
-        let found: Vec<(MachineId, SlotKey)> = self
-            .machines
-            .values()
-            .flat_map(|m| m.slots.keys().filter(|k| &k.0 == job).map(|k| (m.id.clone(), k.clone())))
-            .collect();
+        let all_counted = j.active.len() as u32 == j.slots;
+        let found: Vec<(MachineId, SlotKey)> = if all_counted {
+            j.active.iter().map(|(task, machine)| (machine.clone(), (job.clone(), *task))).collect()
+        } else {
+            // Some are where they should not be, and known to their machines alone.
+            let slots = |m: &Machine| {
+                let of_job = m.slots.keys().filter(|key| &key.0 == job);
+                of_job.map(|key| (m.id.clone(), key.clone())).collect::<Vec<_>>()
+            };
+            self.machines.values().flat_map(slots).collect()
+        };
         for (machine, key) in found {
             self.order_stop(now, &machine, &key, 0.0);
         }
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -23,8 +23,6 @@
 const LEAST_BILLED: Duration = Duration::from_secs(60);
 /// After the cloud has failed, what must be repeated waits this long.
 const CLOUD_PAUSE: Duration = Duration::from_secs(2);
-/// Deleted machines remembered, against late reports of theirs.
-const GONE: usize = 1024;
 
 impl Leader {
     pub(super) fn request_catalog(&mut self) {
@@ -214,7 +212,8 @@
             }
         }
         for ((machine_type, zone, spot), ids) in groups {
-            for ids in ids.chunks(MAX_RENTAL as usize) {
+            let most = self.most_in_rental(ids.iter().map(|id| id.as_str().len()).max());
+            for ids in ids.chunks(most as usize) {
                 self.next_rental += 1;
                 let name = format!("x-{}-{}", self.epoch, self.next_rental);
                 tracing::info!(count = ids.len(), %machine_type, %zone, spot, "machines that were not expected");
@@ -241,6 +240,21 @@
         }
     }
 
+    /// Most machines in one rental: so many that its record, which names each of them twice,
+    /// fits into a value under both sets of limits.
+    pub(super) fn most_in_rental(&self, longest_name: Option<usize>) -> u32 {
+        /// What surrounds a name in a list, and what the record has beside the two lists.
+        const AROUND_NAME: usize = 3;
+        const BESIDE_LISTS: usize = 512;
+        /// No machine is known yet: longer than any name so far.
+        const UNKNOWN_NAME: usize = 16;
+        let value = self.config.settings.cluster.state.within_both().value_bytes();
+        let known = || self.machines.keys().next_back().map(|id| id.as_str().len());
+        let name = longest_name.or_else(known).unwrap_or(UNKNOWN_NAME);
+        let fits = value.saturating_sub(BESIDE_LISTS) / (2 * (name + AROUND_NAME));
+        u32::try_from(fits).unwrap_or(MAX_RENTAL).clamp(1, MAX_RENTAL)
+    }
+
     pub(super) fn deleted(&mut self, now: Instant, machines: &[MachineId]) {
         for id in machines {
             // The answer proves that the machine and all on it are gone.
@@ -249,7 +263,7 @@
             if self.gone.insert(id.clone()) {
                 self.gone_order.push_back(id.clone());
             }
-            while self.gone_order.len() > GONE {
+            while self.gone_order.len() > self.most_gone {
                 if let Some(old) = self.gone_order.pop_front() {
                     self.gone.remove(&old);
                 }
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -22,6 +22,7 @@
 use super::pipelines::NeedStates;
 use super::renting::{Backoff, Offer};
 use super::scheduler::{PromptNeed, Ranked};
+use super::sizes::Sizes;
 use crate::maps::{HashMap, HashSet};
 use crate::policy::Tuning;
 use crate::protocol::cbor::MapBuilder;
@@ -186,6 +187,8 @@
     pub(super) unexpected_since: Option<Instant>,
     pub(super) gone: HashSet<MachineId>,
     pub(super) gone_order: VecDeque<MachineId>,
+    /// Deleted machines remembered, against late reports of theirs.
+    pub(super) most_gone: usize,
     pub(super) catalog: Vec<MachineType>,
     pub(super) catalog_at: Option<Instant>,
     pub(super) notes: HashMap<&'static str, Note>,
@@ -227,6 +230,9 @@
     pub(super) next_rental: u32,
     pub(super) slow_tick_at: Instant,
     pub(super) recovered: bool,
+    /// A machine that was not known when that was last looked at: while it is not, there
+    /// is nothing to look for.
+    unknown_machine: Option<MachineId>,
     pub(super) refused: u64,
     /// Classes of jobs that are to start within less than a report interval.
     pub(super) prompt_classes: HashMap<String, PromptNeed>,
@@ -276,6 +282,7 @@
             unexpected_since: None,
             gone: HashSet::default(),
             gone_order: VecDeque::new(),
+            most_gone: Sizes::new(&config.settings.cluster.limits).machines,
             catalog: Vec::new(),
             catalog_at: None,
             notes: HashMap::default(),
@@ -306,6 +313,7 @@
             next_rental: 0,
             slow_tick_at: now,
             recovered: false,
+            unknown_machine: None,
             refused: 0,
             prompt_classes: HashMap::default(),
             prompt_work: false,
@@ -625,8 +633,16 @@
     }
 
     /// Whether all that may be on machines from before this epoch is known.
-    pub(super) fn has_recovered(&self) -> bool {
-        self.machines.values().all(|m| m.known || !m.used)
+    ///
+    /// Machines become known in about the order of the walk or in any other; it goes on
+    /// where it stopped, so that a takeover's reports do not each walk the whole fleet.
+    pub(super) fn has_recovered(&mut self) -> bool {
+        let is_unknown = |m: &&Machine| m.used && !m.known;
+        let from = self.unknown_machine.take();
+        let rest = from.and_then(|from| self.machines.range(from..).map(|(_, m)| m).find(is_unknown));
+        let found = rest.or_else(|| self.machines.values().find(is_unknown));
+        self.unknown_machine = found.map(|m| m.id.clone());
+        self.unknown_machine.is_none()
     }
 
     /// Notes when all that was on machines before is known; what waited for it goes on.
@@ -699,6 +715,14 @@
         figures
             .set("epoch", self.epoch)
             .set("jobs", self.jobs.len() as u64)
+            .set(
+                "jobsWaitingForOthers",
+                self.jobs.values().filter(|j| j.is_live() && j.is_waiting()).count() as u64,
+            )
+            .set(
+                "recordsWithNamedBlocks",
+                self.jobs.values().filter(|j| j.record.block_tasks.is_some()).count() as u64,
+            )
             .set("tasksWaiting", pending)
             .set("tasksActive", active as u64)
             .set("machines", self.machines.len() as u64)
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -193,7 +193,7 @@
         }
         let now = Instant::now();
         let peers = Peers::new(links.keys().cloned(), config.tuning.lease);
-        let detours = Detours::new(config.settings.cluster.workers.lease());
+        let detours = Detours::new(config.settings.cluster.workers.lease(), sizes.machines);
         let held = HeldReports::new(&config);
         let node = Node {
             config,
@@ -512,7 +512,15 @@
             Some(leader) => leader.figures(figures),
             None => figures,
         };
-        self.statistics.figures(figures).build()
+        let limits = self.store.limits();
+        let announced = self.config.settings.cluster.state.announced();
+        let state = MapBuilder::new()
+            .set("changesPerSecond", limits.write_rps)
+            .set("valueKib", limits.value_kb)
+            .set("laterChangesPerSecond", announced.write_rps)
+            .set("laterValueKib", announced.value_kb)
+            .set("laterLimitsHold", limits == announced);
+        self.statistics.figures(figures.set("stateService", state.build())).build()
     }
 
     fn carry_out(&mut self) {
--- a/src/coordination/peers.rs
+++ b/src/coordination/peers.rs
@@ -162,16 +162,16 @@
     /// The workers' lease.
     lease: Duration,
     sent: HashMap<MachineId, Sent>,
+    /// Workers remembered; beyond, the oldest are forgotten and sent once more.
+    most: usize,
 }
 
 impl Detours {
-    /// Workers remembered; beyond, the oldest are forgotten and sent once more.
-    const MOST: usize = 4096;
     /// Leases for which a worker's reports are handed on.
     const PATIENCE: u32 = 3;
 
-    pub fn new(lease: Duration) -> Self {
-        Detours { lease, sent: HashMap::default() }
+    pub fn new(lease: Duration, most: usize) -> Self {
+        Detours { lease, sent: HashMap::default(), most }
     }
 
     /// Another leads: the way to it may be open.
@@ -183,11 +183,11 @@
     /// its own accord, as workers only do when that answers no more, so sending
     /// it back there would cost it one more wait for nothing.
     pub fn judge(&mut self, now: Instant, worker: &MachineId, came_from: bool) -> Detour {
-        if self.sent.len() >= Self::MOST {
+        if self.sent.len() >= self.most {
             let lease = self.lease;
             self.sent.retain(|_, s| now < s.redirected_at + lease);
         }
-        let room = self.sent.len() < Self::MOST;
+        let room = self.sent.len() < self.most;
         let known = self.sent.get_mut(worker);
         let redirect = Sent { redirected_at: now, relaying_since: None };
         let begin = Sent { relaying_since: came_from.then_some(now), ..redirect };
--- a/src/coordination/peers/tests.rs
+++ b/src/coordination/peers/tests.rs
@@ -54,7 +54,7 @@
     let now = Instant::now();
     let at = |quarters: u32| now + TTL * quarters / 4;
     let worker = MachineId::parse("vm-1").expect("valid");
-    let mut detours = Detours::new(TTL);
+    let mut detours = Detours::new(TTL, 64);
     assert_eq!(detours.judge(now, &worker, false), Detour::Redirect);
     assert_eq!(detours.judge(at(1), &worker, false), Detour::Relay);
     assert_eq!(detours.judge(at(12), &worker, false), Detour::Relay, "it stays with whom answers it");
--- a/src/coordination/reconciler.rs
+++ b/src/coordination/reconciler.rs
@@ -59,6 +59,10 @@
 pub struct Examined {
     pub job: JobId,
     pub finding: Finding,
+    /// Its tasks wait for other jobs.
+    pub waits: bool,
+    /// Its record names the size of its blocks of done tasks.
+    pub names_blocks: bool,
     record_version: u64,
     live_version: u64,
     over_version: u64,
@@ -107,7 +111,17 @@
     let unreadable = Finding::Suspect("an unreadable record or row");
     let over_row = over.as_ref().map(|e| decode_row(&e.value));
     let decoded = record.as_ref().map(|e| JobRecord::decode(&e.value));
-    let finding = match (over_row.transpose(), decoded.transpose()) {
+    let decoded = decoded.transpose();
+    let known = decoded.as_ref().ok().and_then(Option::as_ref);
+    let waiting = known.filter(|r| r.begun == 0 && r.final_standing().is_none() && !r.spec.awaits.is_empty());
+    let waits = waiting.is_some();
+    let names_blocks = known.is_some_and(|record| record.block_tasks.is_some());
+    let lost_need = match waiting {
+        Some(record) => awaits_what_is_not_there(store, record).await?,
+        None => false,
+    };
+    let finding = match (over_row.transpose(), decoded) {
+        _ if lost_need => Finding::Suspect("it awaits a job without a record"),
         (Ok(over_row), Ok(decoded)) => judge(Evidence {
             record: decoded.map(|r| r.final_standing()),
             live_row: live.is_some(),
@@ -118,12 +132,24 @@
     Ok(Examined {
         job: job.clone(),
         finding,
+        waits,
+        names_blocks,
         record_version: version(&record),
         live_version: version(&live),
         over_version: version(&over),
     })
 }
 
+/// Whether a job waits for one that has no record, and so for ever.
+async fn awaits_what_is_not_there(store: &Store, record: &JobRecord) -> Result<bool, StoreError> {
+    for need in &record.spec.awaits {
+        if store.get(Class::Rest, &record_key(need)).await?.is_none() {
+            return Ok(true);
+        }
+    }
+    Ok(false)
+}
+
 /// The jobs named by one page of keys with a prefix, and where to go on.
 pub async fn page_of_jobs(
     store: &Store,
--- a/src/coordination/reconciler/tests.rs
+++ b/src/coordination/reconciler/tests.rs
@@ -6,6 +6,8 @@
     let examined = |finding, live_version, over_version| Examined {
         job: job.clone(),
         finding,
+        waits: false,
+        names_blocks: false,
         record_version: 7,
         live_version,
         over_version,
--- a/src/coordination/renting.rs
+++ b/src/coordination/renting.rs
@@ -11,7 +11,7 @@
 use super::leader::{Leader, Ticket};
 use super::model::{Phase, Rental};
 use crate::maps::HashSet;
-use crate::protocol::cloud::{MAX_RENTAL, MachineType, RentalRequest};
+use crate::protocol::cloud::{MachineType, RentalRequest};
 use crate::protocol::workers::MachineId;
 use crate::storage::records::RentalRecord;
 use crate::storage::service::StoreError;
@@ -249,6 +249,7 @@
         need: f64,
         chosen: &[RentalOrder],
     ) -> Option<RentalOrder> {
+        let most = self.most_in_rental(None);
         let mut best: Option<(f64, usize, RentalOrder)> = None;
         for &at in &key.types {
             let kind = self.catalog.get(at)?;
@@ -274,7 +275,7 @@
                         .as_ref()
                         .is_none_or(|(c, n, _)| cost < c * 0.99 || (cost < c * 1.01 && here < *n));
                     if better {
-                        best = Some((cost, here, RentalOrder { offer, count: count.min(MAX_RENTAL) }));
+                        best = Some((cost, here, RentalOrder { offer, count: count.min(most) }));
                     }
                 }
             }
--- a/src/coordination/sizes.rs
+++ b/src/coordination/sizes.rs
@@ -2,6 +2,10 @@
 
 use crate::settings::Limits as Quota;
 
+/// Connections are for what runs now; as much again may just have been replaced.
+const MACHINES_PER_CONNECTION: usize = 2;
+const LEAST_MACHINES: usize = 1024;
+
 /// How much of each kind there may be at once, by the sockets and the memory
 /// that the settings give: they grow with the fleet, and so does what comes
 /// together.
@@ -19,6 +23,10 @@
     pub(super) relays: usize,
     /// Final standings kept in memory: they never change.
     pub(super) finals: usize,
+    /// Machines of which something is remembered that is not in the picture: those that
+    /// were deleted, and workers that were sent to the leader. Every machine of a fleet
+    /// has a connection to some controller, so a fleet is not larger than this.
+    pub(super) machines: usize,
 }
 
 impl Sizes {
@@ -30,6 +38,7 @@
             lookups: part(24, 16),
             directs: part(100, 8),
             relays: part(8, 32),
+            machines: (quota.max_connections * MACHINES_PER_CONNECTION).max(LEAST_MACHINES),
             finals: ((quota.memory_mb * 36.0) as usize).clamp(256, 65_536),
         }
     }
--- a/src/coordination/tests/mod.rs
+++ b/src/coordination/tests/mod.rs
@@ -2,6 +2,7 @@
 //! that only moves when told.
 
 mod cancellation;
+mod fleet_size;
 mod lease;
 mod monotonic_answers;
 mod overlapping_faults;
