Split the leader, the scheduler and the agents by subject; sharpen the release test

Moved, no behaviour changed: urgency and aims, preemption, stopping tasks, slots and figures are modules of their own; leader 757 to 633 lines, scheduler 712 to 405, agents 618 to 505.

--- /dev/null
+++ b/src/coordination/figures.rs
@@ -0,0 +1,62 @@
+//! The leader's figures, for operators and for the log.
+
+use super::leader::Leader;
+use super::model::{Job, Phase};
+use crate::protocol::cbor::MapBuilder;
+
+impl Leader {
+    /// Tasks that wait, tasks on machines, and machines that boot.
+    fn counts(&self) -> (u32, usize, usize) {
+        (
+            self.jobs.values().map(Job::pending).sum(),
+            self.jobs.values().map(|j| j.active.len()).sum(),
+            self.machines.values().filter(|m| m.phase == Phase::Booting).count(),
+        )
+    }
+
+    /// For operators.
+    pub fn figures(&self, figures: MapBuilder) -> MapBuilder {
+        let (pending, active, booting) = self.counts();
+        figures
+            .set("epoch", self.epoch)
+            .set("jobs", self.jobs.len() as u64)
+            .set(
+                "jobsWaitingForOthers",
+                self.jobs.values().filter(|j| j.is_live() && j.is_waiting()).count() as u64,
+            )
+            .set(
+                "recordsWithNamedBlocks",
+                self.jobs.values().filter(|j| j.record.block_tasks.is_some()).count() as u64,
+            )
+            .set("tasksWaiting", pending)
+            .set("tasksActive", active as u64)
+            .set("machines", self.machines.len() as u64)
+            .set("machinesBooting", booting as u64)
+            .set("machinesDoubted", self.machines.values().filter(|m| m.doubted).count() as u64)
+            .set("accountedFor", self.recovered)
+            .set("submissionsRefused", self.refused)
+    }
+
+    /// For the log.
+    pub fn summary(&self) -> String {
+        let (pending, active, booting) = self.counts();
+        let spot = self.machines.values().filter(|m| m.spot).count();
+        let idle = self.machines.values().filter(|m| m.phase == Phase::Up && m.slots.is_empty()).count();
+        // CPUs used and there, on ordinary and on spot machines.
+        let mut cpus = [[0.0; 2]; 2];
+        for m in self.machines.values().filter(|m| m.phase == Phase::Up) {
+            let all = self.catalog.get(m.kind).map_or(0.0, |k| k.cpus);
+            let [used, there] = &mut cpus[usize::from(m.spot)];
+            *used += all - m.free.cpus;
+            *there += all;
+        }
+        let [[used, there], [spot_used, spot_there]] = cpus;
+        format!(
+            "epoch {} jobs {} pending {pending} active {active} machines {} spot {spot} booting {booting} idle {idle} cpus {used:.0} of {there:.0} spot cpus {spot_used:.0} of {spot_there:.0} recovered {}",
+            self.epoch,
+            self.jobs.len(),
+            self.machines.len(),
+            self.recovered
+        )
+    }
+}
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -1,8 +1,9 @@
 //! The leader's picture and the bookkeeping that all its parts share.
 //!
 //! [`Leader`] takes events and the time and leaves [`Action`]s to carry out.
-//! Its parts are in the modules beside this one: `intake`, `agents`,
-//! `scheduler`, `fleet`.
+//! Its parts are in the modules beside this one, by subject: users (`intake`,
+//! `pipelines`), workers (`agents`, `stopping`, `slots`), placing (`scheduler`, `urgency`,
+//! `preemption`), machines (`fleet`, `renting`), records (`record_writing`).
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -18,14 +19,14 @@
 use super::demand::{Demand, GroupKey};
 use super::dependencies::Dependencies;
 use super::machine_list::ListRound;
-use super::model::{Job, Machine, Phase, Rental, ReplyTo, Resources, Slot, SlotKey, SlotState, Team};
+use super::model::{Job, Machine, Rental, ReplyTo, Resources, Team};
 use super::pipelines::NeedStates;
 use super::renting::{Backoff, Offer};
-use super::scheduler::{PromptNeed, Ranked};
+use super::scheduler::Ranked;
 use super::sizes::Sizes;
+use super::urgency::PromptNeed;
 use crate::maps::{HashMap, HashSet};
 use crate::policy::Tuning;
-use crate::protocol::cbor::MapBuilder;
 use crate::protocol::cloud::MachineType;
 use crate::protocol::jobs::{JobId, JobSpec};
 use crate::protocol::state::{Change, Condition};
@@ -476,76 +477,6 @@
         }
     }
 
-    // Slots: the single place where room on machines and of teams is counted.
-
-    pub(super) fn add_slot(
-        &mut self,
-        now: Instant,
-        machine: &MachineId,
-        key: SlotKey,
-        attempt: u64,
-        state: SlotState,
-        wanted: bool,
-    ) {
-        let (Some(m), Some(job)) = (self.machines.get_mut(machine), self.jobs.get_mut(&key.0)) else {
-            return;
-        };
-        let room = Resources::of(job.spec());
-        m.free.sub(&room);
-        if let Some(team) = job.team {
-            self.teams[team].used.add(&room);
-        }
-        job.slots += 1;
-        if state == SlotState::Running {
-            job.running += 1;
-            m.note_image(&job.record.spec, self.catalog.get(m.kind));
-        }
-        if wanted {
-            job.active.insert(key.1, machine.clone());
-        }
-        let slot = Slot { attempt, state, room, team: job.team, since: now, stop: None, wanted };
-        m.slots.insert(key, slot);
-    }
-
-    /// The task is provably not on the machine any more.
-    pub(super) fn remove_slot(&mut self, now: Instant, machine: &MachineId, key: &SlotKey) {
-        let Some(m) = self.machines.get_mut(machine) else { return };
-        let Some(slot) = m.slots.remove(key) else { return };
-        m.free.add(&slot.room);
-        if m.slots.is_empty() {
-            m.idle_since = now;
-            m.free = self.catalog.get(m.kind).map(Resources::of_type).unwrap_or_default();
-        }
-        if let Some(team) = slot.team {
-            self.teams[team].used.sub(&slot.room);
-        }
-        let Some(job) = self.jobs.get_mut(&key.0) else { return };
-        job.slots = job.slots.saturating_sub(1);
-        job.running = job.running.saturating_sub(u32::from(slot.state == SlotState::Running));
-        if slot.wanted && job.active.get(&key.1) == Some(machine) {
-            job.active.remove(&key.1);
-            if !job.record.done.contains(key.1) {
-                job.returned.insert(key.1);
-                self.prompt_work |= job.is_service();
-                // A job that had nothing waiting is not in the queue.
-                if job.pending() == 1 {
-                    self.queue_at = None;
-                }
-            }
-        }
-        if job.slots == 0 {
-            self.try_move(&key.0);
-        }
-    }
-
-    pub(super) fn clear_slots(&mut self, now: Instant, machine: &MachineId) {
-        let keys: Vec<SlotKey> =
-            self.machines.get(machine).map(|m| m.slots.keys().cloned().collect()).unwrap_or_default();
-        for key in keys {
-            self.remove_slot(now, machine, &key);
-        }
-    }
-
     /// Writes a fleet record, one write at a time.
     pub(super) fn write_rental(&mut self, name: &str) {
         let Some(rental) = self.rentals.get_mut(name) else { return };
@@ -699,59 +630,4 @@
         self.note_prompt_class(entry.spec());
         self.jobs.insert(entry.id().clone(), entry);
     }
-
-    /// Tasks that wait, tasks on machines, and machines that boot.
-    fn counts(&self) -> (u32, usize, usize) {
-        (
-            self.jobs.values().map(Job::pending).sum(),
-            self.jobs.values().map(|j| j.active.len()).sum(),
-            self.machines.values().filter(|m| m.phase == Phase::Booting).count(),
-        )
-    }
-
-    /// For operators.
-    pub fn figures(&self, figures: MapBuilder) -> MapBuilder {
-        let (pending, active, booting) = self.counts();
-        figures
-            .set("epoch", self.epoch)
-            .set("jobs", self.jobs.len() as u64)
-            .set(
-                "jobsWaitingForOthers",
-                self.jobs.values().filter(|j| j.is_live() && j.is_waiting()).count() as u64,
-            )
-            .set(
-                "recordsWithNamedBlocks",
-                self.jobs.values().filter(|j| j.record.block_tasks.is_some()).count() as u64,
-            )
-            .set("tasksWaiting", pending)
-            .set("tasksActive", active as u64)
-            .set("machines", self.machines.len() as u64)
-            .set("machinesBooting", booting as u64)
-            .set("machinesDoubted", self.machines.values().filter(|m| m.doubted).count() as u64)
-            .set("accountedFor", self.recovered)
-            .set("submissionsRefused", self.refused)
-    }
-
-    /// For the log.
-    pub fn summary(&self) -> String {
-        let (pending, active, booting) = self.counts();
-        let spot = self.machines.values().filter(|m| m.spot).count();
-        let idle = self.machines.values().filter(|m| m.phase == Phase::Up && m.slots.is_empty()).count();
-        // CPUs used and there, on ordinary and on spot machines.
-        let mut cpus = [[0.0; 2]; 2];
-        for m in self.machines.values().filter(|m| m.phase == Phase::Up) {
-            let all = self.catalog.get(m.kind).map_or(0.0, |k| k.cpus);
-            let [used, there] = &mut cpus[usize::from(m.spot)];
-            *used += all - m.free.cpus;
-            *there += all;
-        }
-        let [[used, there], [spot_used, spot_there]] = cpus;
-        format!(
-            "epoch {} jobs {} pending {pending} active {active} machines {} spot {spot} booting {booting} idle {idle} cpus {used:.0} of {there:.0} spot cpus {spot_used:.0} of {spot_there:.0} recovered {}",
-            self.epoch,
-            self.jobs.len(),
-            self.machines.len(),
-            self.recovered
-        )
-    }
 }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -8,6 +8,7 @@
 mod demand;
 mod dependencies;
 pub mod election;
+mod figures;
 pub mod fleet;
 mod held_reports;
 pub mod intake;
@@ -18,13 +19,17 @@
 pub mod node;
 pub mod peers;
 mod pipelines;
+mod preemption;
 pub mod reconciler;
 mod record_writing;
 mod renting;
 pub mod scheduler;
 mod silence;
 mod sizes;
+mod slots;
 mod statistics;
+mod stopping;
+mod urgency;
 
 #[cfg(test)]
 mod tests;
--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -6,39 +6,29 @@
 //! clearly the better place, which will then take it with its own next report.
 
 use std::cmp::Ordering;
-use std::time::Duration;
 
 use tokio::time::Instant;
 
 use super::leader::Leader;
-use super::model::{Job, Machine, Resources, SlotKey, SlotState, Team};
-use crate::maps::HashMap;
+use super::model::{Job, Machine, Resources, SlotState};
 use crate::protocol::jobs::{JobId, JobSpec, Priority, TaskId};
 use crate::protocol::workers::{MachineId, Order};
-use crate::settings::Objective;
 
 /// A waiting job's place in the queue.
 #[derive(Debug, Clone)]
 pub(super) struct Ranked {
-    job: JobId,
+    pub(super) job: JobId,
     /// Must begin before anything else does.
     starved: bool,
-    guaranteed: bool,
-    priority: Priority,
-    due: Instant,
+    pub(super) guaranteed: bool,
+    pub(super) priority: Priority,
+    pub(super) due: Instant,
     /// What a task takes, and whether it may go to spot machines: most of the
     /// queue is passed over for a machine by these alone.
     need: Resources,
     spot: bool,
 }
 
-/// What a task of a class that is to start promptly takes.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct PromptNeed {
-    task: Resources,
-    spot: bool,
-}
-
 impl Ranked {
     fn order(&self, other: &Self) -> Ordering {
         other
@@ -54,7 +44,7 @@
 impl Leader {
     /// Orders the waiting jobs: guarantees first, then priority, then the time
     /// by which a job must start to be done when it is due, or its age.
-    fn rank(&mut self, now: Instant) {
+    pub(super) fn rank(&mut self, now: Instant) {
         let fresh_enough = self.config.settings.cluster.workers.report() / 12;
         if self.queue_at.is_some_and(|at| now < at + fresh_enough) {
             return;
@@ -93,16 +83,6 @@
         self.roomy = open.map(|m| m.id.clone()).collect();
     }
 
-    /// Whether a job has waited for half the time within which every job must
-    /// begin, and has not begun. However urgent other work is, a first task of
-    /// it goes before: else a stream of more urgent, or smaller, work could
-    /// keep it out for ever.
-    fn is_starved(&self, job: &Job, now: Instant) -> bool {
-        job.active.is_empty()
-            && job.record.done.is_empty()
-            && now >= job.counted_from(now) + self.config.tuning.begin_within / 2
-    }
-
     /// A starved job that fits nowhere gets one machine kept clear for it, or
     /// smaller tasks would take every bit of room as it comes free. True if it
     /// is to be this one.
@@ -130,118 +110,8 @@
         suits
     }
 
-    /// When a job's tasks must start for the next of the users' aims that can
-    /// still be met. With all of them missed it goes behind those for whom
-    /// haste still helps, by a boot time, and then by age.
-    pub(super) fn latest_start(&self, job: &Job, now: Instant) -> Instant {
-        let next = self.aimed_starts(job, now).filter(|&at| at > now).min();
-        next.unwrap_or_else(|| {
-            let age = now.saturating_duration_since(job.counted_from(now));
-            now + self.longest_boot().mul_f64(1.0 / (1.0 + age.as_secs_f64() / 600.0))
-        })
-    }
-
-    /// A job's own priority, or that of a job that needs it.
-    pub(super) fn priority(&self, job: &Job) -> Priority {
-        let own = job.spec().priority;
-        self.dependencies.inherited(job.id()).map_or(own, |inherited| own.max(inherited.priority))
-    }
-
-    /// When a job's tasks should have started, by each of the users' aims for its class,
-    /// by its deadline and by those of the jobs that need it.
-    fn aimed_starts<'a>(&'a self, job: &'a Job, now: Instant) -> impl Iterator<Item = Instant> + 'a {
-        let (spec, released) = (job.spec(), job.counted_from(now));
-        let run = Duration::from_secs_f64(self.expected_run(spec));
-        let after_release = self.starts_after_release(spec).map(move |after| released + after);
-        let by_deadline = self.starts_by_deadline(spec).map(move |after| job.submitted + after);
-        let inherited = self.dependencies.inherited(job.id()).and_then(|urgency| urgency.finish_by);
-        let inherited = inherited.map(move |finish_by| finish_by.checked_sub(run).unwrap_or(finish_by));
-        after_release.chain(by_deadline).chain(inherited)
-    }
-
-    /// How long after its release a job's tasks should have started, by the users' aims
-    /// for its class.
-    pub(super) fn starts_after_release<'a>(
-        &'a self,
-        spec: &'a JobSpec,
-    ) -> impl Iterator<Item = Duration> + 'a {
-        let run = self.expected_run(spec);
-        let aims = self.aims_for(spec).filter_map(move |aim| match (aim.kind.as_str(), aim.within_s) {
-            ("wait", Some(within)) => Some(within),
-            ("finished", Some(within)) => Some(within - run),
-            _ => None,
-        });
-        aims.filter_map(duration_of)
-    }
-
-    /// How long after its submission a job's tasks should have started to meet its
-    /// deadline, and the multiples of it that the users aim at.
-    pub(super) fn starts_by_deadline<'a>(&'a self, spec: &'a JobSpec) -> impl Iterator<Item = Duration> + 'a {
-        let run = self.expected_run(spec);
-        let aims = self.aims_for(spec).filter(|aim| aim.kind == "deadline");
-        let times = aims.map(|aim| aim.times.unwrap_or(1.0)).chain(std::iter::once(1.0));
-        let deadline = spec.deadline_s;
-        times.filter_map(move |times| Some(deadline? * times - run)).filter_map(duration_of)
-    }
-
-    fn aims_for<'a>(&'a self, spec: &'a JobSpec) -> impl Iterator<Item = &'a Objective> + 'a {
-        let aims = self.config.settings.cluster.objectives.iter();
-        aims.filter(|aim| aim.class.as_ref().is_none_or(|class| *class == spec.class))
-    }
-
-    /// The aims at the job's start that are shorter than a report interval.
-    fn prompt_aims<'a>(&'a self, spec: &'a JobSpec) -> impl Iterator<Item = f64> + 'a {
-        let report = self.config.settings.cluster.workers.report_s;
-        self.config
-            .settings
-            .cluster
-            .objectives
-            .iter()
-            .filter(|aim| aim.kind == "wait" && aim.class.as_ref().is_none_or(|c| *c == spec.class))
-            .filter_map(|aim| aim.within_s)
-            .filter(move |&within| within > 0.0 && within < report)
-    }
-
-    pub(super) fn has_prompt_aim(&self, spec: &JobSpec) -> bool {
-        self.prompt_aims(spec).next().is_some()
-    }
-
-    /// Whether a task that starts on the machine now still meets an aim at its start
-    /// that is shorter than a report interval. No machine that reports later could be
-    /// expected to meet it; but one that would have to fetch the image first may miss
-    /// it as surely, and then is compared with the others like any other.
-    fn starts_promptly(&self, now: Instant, job: &Job, machine: &Machine) -> bool {
-        let waited = now.saturating_duration_since(job.counted_from(now)).as_secs_f64();
-        let fetch = self.fetch_s(job.spec(), machine);
-        if job.is_service() && !job.active.is_empty() && fetch <= 0.0 {
-            // One of its replicas is down: each second counts.
-            return true;
-        }
-        self.prompt_aims(job.spec()).any(|within| waited + fetch < within)
-    }
-
-    /// Notes what a job takes whose class is to start promptly: others like it are
-    /// likely to come.
-    pub(super) fn note_prompt_class(&mut self, spec: &JobSpec) {
-        const CLASSES: usize = 64;
-        let known = self.prompt_classes.contains_key(&spec.class);
-        if self.has_prompt_aim(spec) && (known || self.prompt_classes.len() < CLASSES) {
-            let need = PromptNeed { task: Resources::of(spec), spot: spec.spot };
-            self.prompt_classes.insert(spec.class.clone(), need);
-        }
-    }
-
-    /// Whether jobs that are to start promptly may use room on the machine.
-    pub(super) fn expects_prompt_start(&self, machine: &Machine) -> bool {
-        machine.has_open_room()
-            && self
-                .prompt_classes
-                .values()
-                .any(|need| need.task.fits(&machine.free) && (need.spot || !machine.spot))
-    }
-
     /// How long the machine is expected to fetch the image of the job.
-    fn fetch_s(&self, spec: &JobSpec, machine: &Machine) -> f64 {
+    pub(super) fn fetch_s(&self, spec: &JobSpec, machine: &Machine) -> f64 {
         match self.catalog.get(machine.kind) {
             Some(kind) if kind.fetch_gb_per_s > 0.0 && !machine.has_image(&spec.image) => {
                 spec.image_gb / kind.fetch_gb_per_s
@@ -250,36 +120,6 @@
         }
     }
 
-    /// Jobs that fit into their team's guarantee together with the team's
-    /// earlier unfinished jobs, with what they may still take.
-    fn within_guarantees(&self) -> HashMap<JobId, Resources> {
-        let mut by_team: HashMap<usize, Vec<&Job>> = HashMap::default();
-        for job in self.jobs.values().filter(|j| j.is_live() && !j.is_waiting()) {
-            if let Some(team) = job.team.filter(|&t| self.teams[t].guaranteed != Resources::default()) {
-                by_team.entry(team).or_default().push(job);
-            }
-        }
-        let mut found = HashMap::default();
-        for (team, mut jobs) in by_team {
-            jobs.sort_by_key(|j| (j.released, j.id().clone()));
-            let guaranteed = self.teams[team].guaranteed;
-            let mut total = Resources::default();
-            for job in jobs {
-                let tasks = f64::from(job.unfinished());
-                let need = Resources {
-                    cpus: job.spec().cpus * tasks,
-                    gpus: job.spec().gpus * tasks,
-                    memory_gb: 0.0,
-                };
-                total.add(&need);
-                if total.fits(&guaranteed) {
-                    found.insert(job.id().clone(), need);
-                }
-            }
-        }
-        found
-    }
-
     /// Starts tasks on a machine that has just reported.
     pub(super) fn fill(
         &mut self,
@@ -465,7 +305,7 @@
     }
 
     /// Whether the job allows the machine: its type, its zone, spot or not.
-    fn may_use(&self, spec: &JobSpec, machine: &Machine) -> bool {
+    pub(super) fn may_use(&self, spec: &JobSpec, machine: &Machine) -> bool {
         (spec.spot || !machine.spot)
             && spec.zone.as_ref().is_none_or(|zone| *zone == machine.zone)
             && self
@@ -528,7 +368,7 @@
         true
     }
 
-    fn team_has_room(&self, job: &Job) -> bool {
+    pub(super) fn team_has_room(&self, job: &Job) -> bool {
         let Some(team) = job.team.and_then(|t| self.teams.get(t)) else { return false };
         let mut used = team.used;
         if !self.recovered {
@@ -562,151 +402,4 @@
         };
         -(wait + fetch + 1.5 * emptiness + dear + spare + risk)
     }
-
-    /// Frees room for work within its guarantee from work beyond another's,
-    /// and for work of higher priority from lower. Only tasks that lose little.
-    pub(super) fn preempt(&mut self, now: Instant) {
-        if !self.recovered
-            || self.config.tuning.preempt_loss_s.max(self.config.tuning.preempt_lower_loss_s) <= 0.0
-        {
-            return;
-        }
-        // Mostly there is nobody who could give way: looking for them among all
-        // tasks is left out then.
-        let over: Vec<bool> = self
-            .teams
-            .iter()
-            .map(|t| !t.used.fits(&Resources { memory_gb: f64::INFINITY, ..t.guaranteed }))
-            .collect();
-        let lowest = self.jobs.values().filter(|j| j.slots > 0).map(|j| self.priority(j)).min();
-        self.rank(now);
-        // The machines that have room get their chance to report first. A
-        // guarantee is less pressing than a priority, and costs equals.
-        let report = self.config.settings.cluster.workers.report();
-        let queue = self.queue.clone();
-        let mut stops: Vec<(MachineId, SlotKey, f64)> = Vec::new();
-        for ranked in queue.iter().take(16) {
-            let Some(job) = self.jobs.get(&ranked.job) else { continue };
-            let lower = lowest.is_some_and(|lowest| lowest < ranked.priority);
-            let borrowed =
-                ranked.guaranteed && over.iter().enumerate().any(|(at, over)| *over && job.team != Some(at));
-            if !(lower || borrowed)
-                || now < job.counted_from(now) + report.mul_f64(0.5)
-                || !self.team_has_room(job)
-            {
-                continue;
-            }
-            let patient = now >= job.counted_from(now) + report.mul_f64(1.5);
-            // Room comes free by itself all the time: what is stopped is lost
-            // only for an aim that would be missed otherwise.
-            let pressing = ranked.due <= now + report.mul_f64(2.5);
-            // Looking for those who could give way is dear.
-            if !((lower && pressing) || (borrowed && patient)) {
-                continue;
-            }
-            let need = Resources::of(job.spec());
-            // Room that is there, or is being made, comes first.
-            let free: u32 = self
-                .machines
-                .values()
-                .filter(|m| !m.doubted && self.eligible(job, m))
-                .map(|m| need.times_in(&m.free))
-                .fold(0, u32::saturating_add);
-            let coming =
-                self.machines.values().flat_map(|m| m.slots.values()).filter(|s| s.stop.is_some()).count();
-            let mut missing = job.pending().saturating_sub(free).saturating_sub(coming as u32);
-            if missing == 0 {
-                continue;
-            }
-            let tuning = &self.config.tuning;
-            let mut given: HashMap<usize, Resources> = HashMap::default();
-            for (machine, key, loss, lower) in self.victims(now, ranked, job, &over) {
-                if missing == 0 {
-                    break;
-                }
-                let most = if lower { tuning.preempt_lower_loss_s } else { tuning.preempt_loss_s };
-                if loss > most || !(if lower { pressing } else { patient }) {
-                    continue;
-                }
-                if !lower {
-                    // Only what its team has beyond its own guarantee, less
-                    // what is stopped of it already.
-                    let Some((at, team)) = self.team_of(&key.0) else { continue };
-                    let given = given.entry(at).or_insert(team.used);
-                    if given.cpus <= team.guaranteed.cpus && given.gpus <= team.guaranteed.gpus {
-                        continue;
-                    }
-                    given.sub(&self.jobs.get(&key.0).map(|j| Resources::of(j.spec())).unwrap_or_default());
-                }
-                let grace = self.jobs.get(&key.0).map_or(0.0, |j| j.spec().save_s);
-                stops.push((machine, key, grace));
-                missing -= 1;
-            }
-            if !stops.is_empty() {
-                break;
-            }
-        }
-        for (machine, key, grace_s) in stops {
-            tracing::debug!(%machine, job = %key.0, task = key.1, "preempted");
-            self.order_stop(now, &machine, &key, grace_s);
-        }
-    }
-
-    fn team_of(&self, job: &JobId) -> Option<(usize, &Team)> {
-        let at = self.jobs.get(job)?.team?;
-        Some((at, self.teams.get(at)?))
-    }
-
-    /// Tasks that may give way to the job, those that lose least first.
-    fn victims(
-        &self,
-        now: Instant,
-        ranked: &Ranked,
-        job: &Job,
-        over: &[bool],
-    ) -> Vec<(MachineId, SlotKey, f64, bool)> {
-        let need = Resources::of(job.spec());
-        let mut found = Vec::new();
-        for machine in self.machines.values().filter(|m| m.open() && self.may_use(job.spec(), m)) {
-            for (key, slot) in &machine.slots {
-                if slot.stop.is_some() || slot.room.cpus < need.cpus {
-                    continue;
-                }
-                let Some(victim) = self.jobs.get(&key.0) else { continue };
-                let borrowed = slot.team != job.team && slot.team.is_some_and(|t| over[t]);
-                let lower = self.priority(victim) < ranked.priority;
-                let may = lower || (ranked.guaranteed && borrowed);
-                // The only one that a job has begun with is left alone.
-                let first = victim.active.len() == 1
-                    && victim.record.done.is_empty()
-                    && now >= victim.counted_from(now) + self.config.tuning.begin_within / 2;
-                if !may || first || victim.is_service() {
-                    continue;
-                }
-                found.push((
-                    machine.id.clone(),
-                    key.clone(),
-                    loss_s(now, victim, slot.state, slot.since),
-                    lower,
-                ));
-            }
-        }
-        found.sort_by(|a, b| a.2.total_cmp(&b.2));
-        found
-    }
-}
-
-/// Seconds as a duration, a negative number of them as none.
-fn duration_of(seconds: f64) -> Option<Duration> {
-    seconds.is_finite().then(|| Duration::from_secs_f64(seconds.clamp(0.0, 1e7)))
-}
-
-/// Work that is lost if a task is stopped now.
-fn loss_s(now: Instant, job: &Job, state: SlotState, since: Instant) -> f64 {
-    match state {
-        SlotState::Running if job.spec().checkpoint_s > 0.0 => job.spec().save_s,
-        // A fetch may have to be done again elsewhere.
-        SlotState::Running | SlotState::Fetching => now.saturating_duration_since(since).as_secs_f64(),
-        _ => 0.0,
-    }
 }
--- /dev/null
+++ b/src/coordination/slots.rs
@@ -0,0 +1,77 @@
+//! Slots: the single place where room on machines and of teams is counted.
+
+use tokio::time::Instant;
+
+use super::leader::Leader;
+use super::model::{Resources, Slot, SlotKey, SlotState};
+use crate::protocol::workers::MachineId;
+
+impl Leader {
+    pub(super) fn add_slot(
+        &mut self,
+        now: Instant,
+        machine: &MachineId,
+        key: SlotKey,
+        attempt: u64,
+        state: SlotState,
+        wanted: bool,
+    ) {
+        let (Some(m), Some(job)) = (self.machines.get_mut(machine), self.jobs.get_mut(&key.0)) else {
+            return;
+        };
+        let room = Resources::of(job.spec());
+        m.free.sub(&room);
+        if let Some(team) = job.team {
+            self.teams[team].used.add(&room);
+        }
+        job.slots += 1;
+        if state == SlotState::Running {
+            job.running += 1;
+            m.note_image(&job.record.spec, self.catalog.get(m.kind));
+        }
+        if wanted {
+            job.active.insert(key.1, machine.clone());
+        }
+        let slot = Slot { attempt, state, room, team: job.team, since: now, stop: None, wanted };
+        m.slots.insert(key, slot);
+    }
+
+    /// The task is provably not on the machine any more.
+    pub(super) fn remove_slot(&mut self, now: Instant, machine: &MachineId, key: &SlotKey) {
+        let Some(m) = self.machines.get_mut(machine) else { return };
+        let Some(slot) = m.slots.remove(key) else { return };
+        m.free.add(&slot.room);
+        if m.slots.is_empty() {
+            m.idle_since = now;
+            m.free = self.catalog.get(m.kind).map(Resources::of_type).unwrap_or_default();
+        }
+        if let Some(team) = slot.team {
+            self.teams[team].used.sub(&slot.room);
+        }
+        let Some(job) = self.jobs.get_mut(&key.0) else { return };
+        job.slots = job.slots.saturating_sub(1);
+        job.running = job.running.saturating_sub(u32::from(slot.state == SlotState::Running));
+        if slot.wanted && job.active.get(&key.1) == Some(machine) {
+            job.active.remove(&key.1);
+            if !job.record.done.contains(key.1) {
+                job.returned.insert(key.1);
+                self.prompt_work |= job.is_service();
+                // A job that had nothing waiting is not in the queue.
+                if job.pending() == 1 {
+                    self.queue_at = None;
+                }
+            }
+        }
+        if job.slots == 0 {
+            self.try_move(&key.0);
+        }
+    }
+
+    pub(super) fn clear_slots(&mut self, now: Instant, machine: &MachineId) {
+        let keys: Vec<SlotKey> =
+            self.machines.get(machine).map(|m| m.slots.keys().cloned().collect()).unwrap_or_default();
+        for key in keys {
+            self.remove_slot(now, machine, &key);
+        }
+    }
+}
--- a/src/coordination/tests/pipelines.rs
+++ b/src/coordination/tests/pipelines.rs
@@ -32,6 +32,21 @@
         starts(&self.beat("vm-1", seq, EPOCH, tasks))
     }
 
+    fn commit_all_but_settles(&mut self) {
+        let settles = |transaction: &Transaction| {
+            transaction.changes.iter().any(|change| match change {
+                Change::Put { key, value, .. } if key.starts_with("rec/") => {
+                    JobRecord::decode(value).is_ok_and(|record| record.settled)
+                }
+                _ => false,
+            })
+        };
+        let (kept, others) = std::mem::take(&mut self.commits).into_iter().partition(|(_, t)| settles(t));
+        self.commits = others;
+        self.commit_all();
+        self.commits = kept;
+    }
+
     fn standings(&self, jobs: &[&str]) -> Vec<Option<Standing>> {
         jobs.iter().map(|job| self.standing(job)).collect()
     }
@@ -51,9 +66,14 @@
     assert!(rig.starts_after(3, vec![ended[0].clone(), listed(&first[1], TaskState::Running)]).is_empty());
     rig.commit_all();
     assert!(rig.starts_after(4, ended.clone()).is_empty(), "both have ended, one settle is on its way");
+    // Whatever else is written meanwhile, a first start included, does not release it.
+    for seq in 5..8 {
+        rig.commit_all_but_settles();
+        assert!(rig.starts_after(seq, vec![]).is_empty());
+    }
     assert_eq!(rig.standing("job-3"), Some(Standing::Queued));
     rig.commit_all();
-    let last = rig.starts_after(5, vec![]);
+    let last = rig.starts_after(8, vec![]);
     assert_eq!(last.iter().map(|(task, _)| task.job.clone()).collect::<Vec<_>>(), [id("job-3")]);
     // A late copy of the reports before changes nothing.
     assert_eq!(rig.report("vm-1", 1, 3, EPOCH, ended), ReportReply::Elsewhere);
