--- a/src/coordination/node/tests.rs
+++ b/src/coordination/node/tests.rs
@@ -228,6 +228,45 @@
     assert_eq!(answer.status, 200);
 }
 
+/// The need of a job is cancelled, and nobody has come to write that into the job's own
+/// record: a controller that answers from records would say queued where the leader that
+/// wrote the cancellation has said cancelled.
+#[tokio::test]
+async fn a_job_is_told_from_the_records_of_its_needs_as_well() {
+    let (mut node, mut inputs, _handle) = rig().await;
+    node.role = Role::Follows { leader: "c-1".into(), epoch: 7 };
+    let mut put = Vec::new();
+    let chain = |job: u32, need: u32| {
+        let awaits = vec![JobId::parse(&format!("job-{need}")).expect("valid")];
+        JobSpec { awaits, ..crate::protocol::jobs::tests::sample(&format!("job-{job}"), "red", 1, 1.0) }
+    };
+    let first = crate::protocol::jobs::tests::sample("job-0", "red", 1, 1.0);
+    put.push(JobRecord { cancelled: true, ..JobRecord::new(first, 0) });
+    put.extend((1..100).map(|n| JobRecord::new(chain(n, n - 1), 0)));
+    // One whose needs were done before it began, and one that waits for a job that goes on.
+    put.push(JobRecord { begun: 1, ..JobRecord::new(chain(200, 2), 0) });
+    put.push(JobRecord::new(chain(201, 200), 0));
+    for record in put {
+        put_record(&node, record_key(&record.spec.id), record.encode(8.0)).await;
+    }
+    for (job, status, standing) in [
+        ("job-1", 200, Some("cancelled")),
+        ("job-40", 200, Some("cancelled")),
+        ("job-200", 200, Some("queued")),
+        ("job-201", 200, Some("queued")),
+        // More records than are read for one answer.
+        ("job-99", 503, None),
+    ] {
+        let answer = ask(&mut node, &mut inputs, PeerCall::Poll(job.into())).await;
+        assert_eq!(answer.status, status, "{job}");
+        assert_eq!(standing.map(|_| standing_of(&answer)).as_deref(), standing, "{job}");
+        assert_eq!(answer.retry_after_s.is_some(), standing.is_none(), "{job}");
+    }
+    // What was told stays told, whatever a later look at the record says.
+    let again = ask(&mut node, &mut inputs, PeerCall::Poll("job-1".into())).await;
+    assert_eq!(standing_of(&again), "cancelled");
+}
+
 #[tokio::test]
 async fn what_was_handed_on_cannot_be_handed_on_again() {
     let (_node, mut inputs, handle) = rig().await;
