Test from when waits and deadlines count; write an acceptance in a step of its own

No behaviour changed: `submit_knowing` judges, `write_acceptance` writes. The new test covers waits and starvation from the release and the deadline from the submission.

--- a/src/coordination/intake.rs
+++ b/src/coordination/intake.rs
@@ -1,5 +1,7 @@
 //! What users ask of the leader.
 
+use std::collections::BTreeSet;
+
 use tokio::time::Instant;
 
 use super::answers::Answer;
@@ -70,13 +72,26 @@
         }
         // Acceptances take two changes each. What could not be written within
         // a second or two is refused now rather than kept waiting.
-        let state = &self.config.settings.cluster.state;
         let room = (self.state_limits.write_rps / 2.0).max(4.0) as usize;
         let most_jobs = (self.config.settings.cluster.limits.memory_mb * 32.0) as usize;
         if self.creating.len() >= room || self.jobs.len() >= most_jobs {
             self.refused += 1;
             return self.answer(to, Answer::later(429, "too many submissions at once", 2));
         }
+        self.write_acceptance(now, now_ms, to, spec, awaited, fate);
+    }
+
+    /// Writes the record and the row of a new job; its user is answered once they are there.
+    fn write_acceptance(
+        &mut self,
+        now: Instant,
+        now_ms: u64,
+        to: ReplyTo,
+        spec: JobSpec,
+        awaited: BTreeSet<JobId>,
+        fate: Fate,
+    ) {
+        let state = &self.config.settings.cluster.state;
         let job = spec.id.clone();
         let mut record = JobRecord::new(spec, now_ms);
         record.cancelled = fate == Fate::Cancelled;
--- a/src/coordination/tests/pipelines.rs
+++ b/src/coordination/tests/pipelines.rs
@@ -105,6 +105,51 @@
     assert_eq!(rented_beside(true), rented_beside(false));
 }
 
+/// Waits and the bound on starvation count from the release, the deadline from the
+/// submission, however long the job has waited for others.
+#[test]
+fn age_counts_from_the_release_and_the_deadline_from_the_submission() {
+    let mut config = Config { settings: settings::tests::sample(), tuning: policy::tests::tuning() };
+    let aim = settings::Objective {
+        kind: "wait".into(),
+        class: Some("stage".into()),
+        within_s: Some(10.0),
+        share: None,
+        times: None,
+    };
+    config.settings.cluster.objectives.push(aim);
+    let half = config.tuning.begin_within / 2;
+    let mut rig = Rig::configured(Vec::new(), vec![rented("vm-1", true)], config);
+    rig.beat("vm-1", 1, EPOCH, vec![]);
+    rig.accept(sample("job-1", "red", 1, 8.0));
+    let submitted = rig.now;
+    let deadline_s = Some(half.as_secs_f64() * 3.0);
+    rig.accept(JobSpec {
+        class: "stage".into(),
+        deadline_s,
+        estimate_s: 20.0,
+        ..awaiting("job-2", &["job-1"])
+    });
+    let first = rig.starts_after(2, vec![]);
+    let mut seq = 3;
+    while rig.now < submitted + half * 2 {
+        rig.pass(2.5);
+        rig.starts_after(seq, vec![listed(&first[0], TaskState::Running)]);
+        rig.commit_all();
+        seq += 1;
+    }
+    rig.starts_after(seq, vec![listed(&first[0], DONE)]);
+    rig.commit_all();
+    let released = rig.now;
+    let job = &rig.leader.jobs[&id("job-2")];
+    assert_eq!((job.submitted, job.released), (submitted, Some(released)));
+    assert!(!rig.leader.is_starved(job, released + half - Duration::from_secs(1)));
+    assert!(rig.leader.is_starved(job, released + half));
+    assert_eq!(rig.leader.latest_start(job, released), released + Duration::from_secs(10));
+    let by_deadline = submitted + half * 3 - Duration::from_secs(20);
+    assert_eq!(rig.leader.latest_start(job, released + Duration::from_secs(11)), by_deadline);
+}
+
 #[test]
 fn a_submission_may_name_what_was_accepted_and_nothing_else() {
     let mut rig = Rig::with_machines(&["vm-1"]);
