Read the change over: say once what stood twice, use the stand-in, drop detours

- Users who wait for a cancellation are told in one place, requests that wait for the state machine are answered in one place; the list of submissions whose needs are to be read is not gathered first.
- Whether a record's job may wait for others is one predicate of the record.
- `blocks` has gone: a record's layout says it.
- The reserves of write classes are a table instead of a match over numbers.
- The test of moved done tasks had a small state service of its own; it uses the stand-in, which also enforces the limits.

--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -32,7 +32,7 @@
 use crate::protocol::state::{Change, Condition};
 use crate::protocol::workers::{ANSWER_WITHIN, MachineId, Order};
 use crate::settings::{Settings, StateLimits};
-use crate::storage::records::{CATALOG, EXPERIENCE, Experience, JobRecord, RentalRecord, blocks, rental_key};
+use crate::storage::records::{CATALOG, EXPERIENCE, Experience, JobRecord, RentalRecord, rental_key};
 use crate::storage::service::{Class, StoreError, Transaction};
 
 /// What is to be done outside.
@@ -505,7 +505,8 @@
     /// A new job as the store now has it.
     pub(super) fn insert_job(&mut self, now: Instant, record: JobRecord, version: u64) {
         let waits = self.dependencies.is_waiting(&record.spec.id);
-        let count = blocks(record.spec.tasks, self.config.settings.cluster.state.value_kb);
+        let layout = record.layout(self.config.settings.cluster.state.value_kb);
+        let count = layout.blocks(record.spec.tasks);
         let mut job = Job::new(record, version, version, now, count);
         job.team = self.team_index.get(&job.spec().team).copied();
         job.released = (!waits).then_some(now);
--- a/src/coordination/loading.rs
+++ b/src/coordination/loading.rs
@@ -81,12 +81,10 @@
     Ok(loaded)
 }
 
-/// What the records say of the jobs that these await and that are not among them. A job
-/// that has begun was released before, and its needs are done.
+/// What the records say of the jobs that these await and that are not among them.
 async fn needs_of(store: &Store, jobs: &[LoadedJob]) -> Result<NeedStates, StoreError> {
     let among: HashSet<&JobId> = jobs.iter().map(|job| &job.record.spec.id).collect();
-    let waiting = jobs.iter().map(|job| &job.record);
-    let waiting = waiting.filter(|record| record.begun == 0 && record.final_standing().is_none());
+    let waiting = jobs.iter().map(|job| &job.record).filter(|record| record.may_wait());
     let needs: HashSet<JobId> = waiting
         .flat_map(|record| &record.spec.awaits)
         .filter(|need| !among.contains(need))
@@ -139,10 +137,7 @@
     most: usize,
 ) -> Result<bool, StoreError> {
     let mut seen: HashSet<JobId> = HashSet::default();
-    let mut unread: Vec<JobId> = record.spec.awaits.clone();
-    if record.begun > 0 {
-        return Ok(false);
-    }
+    let mut unread: Vec<JobId> = if record.may_wait() { record.spec.awaits.clone() } else { Vec::new() };
     while let Some(need) = unread.pop() {
         if !seen.insert(need.clone()) {
             continue;
@@ -151,10 +146,11 @@
             return Err(StoreError::Unavailable);
         }
         let Some(record) = read_record(store, class, &need).await? else { continue };
-        match record.final_standing() {
-            Some(Standing::Cancelled) => return Ok(true),
-            None if record.begun == 0 => unread.extend(record.spec.awaits),
-            _ => {}
+        if record.final_standing() == Some(Standing::Cancelled) {
+            return Ok(true);
+        }
+        if record.may_wait() {
+            unread.extend(record.spec.awaits);
         }
     }
     Ok(false)
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -390,9 +390,7 @@
             .map(|(to, _)| *to)
             .collect();
         for to in late {
-            if let Some(Waiting { reply, job, .. }) = self.waiting.remove(&to) {
-                self.tell(reply, &job, Answer::later(503, "not recorded in time", 1));
-            }
+            self.answer_waiting(to, Answer::later(503, "not recorded in time", 1));
         }
         let leads = self.leader.as_ref().is_some_and(|l| l.valid(now));
         let follows = matches!(self.role, Role::Follows { .. });
@@ -527,20 +525,15 @@
         self.answer_held();
         let Some(leader) = &mut self.leader else { return };
         let epoch = leader.epoch();
-        let mut needs = Vec::new();
         for action in leader.take_actions() {
             match action {
-                Action::Answer { to, answer } => {
-                    if let Some(Waiting { reply, job, .. }) = self.waiting.remove(&to) {
-                        self.tell(reply, &job, answer);
-                    }
-                }
+                Action::Answer { to, answer } => self.answer_waiting(to, answer),
                 Action::LookUp { to, job, otherwise } => {
                     if let Some(Waiting { reply, .. }) = self.waiting.remove(&to) {
                         self.look_up(LookUp { reply, job, absent: otherwise, only_final: false });
                     }
                 }
-                Action::ReadNeeds(submission) => needs.push(submission),
+                Action::ReadNeeds(submission) => self.read_needs(epoch, submission),
                 Action::Commit { ticket, transaction } => {
                     let (store, inner) = (self.store.clone(), self.inner.clone());
                     tokio::spawn(async move {
@@ -578,9 +571,6 @@
                 Action::Over(status) => self.told.insert(status),
             }
         }
-        for submission in needs {
-            self.read_needs(epoch, submission);
-        }
     }
 }
 
--- a/src/coordination/node/user_requests.rs
+++ b/src/coordination/node/user_requests.rs
@@ -126,6 +126,13 @@
         to
     }
 
+    /// Answers a request that waits for the state machine, unless it was answered before.
+    pub(super) fn answer_waiting(&mut self, to: ReplyTo, answer: Answer) {
+        if let Some(Waiting { reply, job, .. }) = self.waiting.remove(&to) {
+            self.tell(reply, &job, answer);
+        }
+    }
+
     /// The one place through which every answer about a job goes: a final state that
     /// was told before, or learnt from a record, wins over whatever was decided since
     /// the request came.
@@ -239,7 +246,8 @@
     /// Reads the records of jobs that a submission names.
     pub(super) fn read_needs(&mut self, epoch: u64, submission: Box<UnjudgedSubmission>) {
         if self.lookups >= self.sizes.lookups {
-            return self.refuse_submission(submission.to, "too many requests at once");
+            let busy = Answer::later(503, "too many requests at once", 1);
+            return self.answer_waiting(submission.to, busy);
         }
         self.lookups += 1;
         let (store, inner) = (self.store.clone(), self.inner.clone());
@@ -266,13 +274,7 @@
                 read.extend(states);
                 leader.submit_knowing(now, wall_ms(), to, spec, read);
             }
-            _ => self.refuse_submission(to, "awaited jobs cannot be looked up now"),
-        }
-    }
-
-    fn refuse_submission(&mut self, to: ReplyTo, reason: &str) {
-        if let Some(Waiting { reply, job, .. }) = self.waiting.remove(&to) {
-            self.tell(reply, &job, Answer::later(503, reason, 1));
+            _ => self.answer_waiting(to, Answer::later(503, "awaited jobs cannot be looked up now", 1)),
         }
     }
 
--- a/src/coordination/pipelines.rs
+++ b/src/coordination/pipelines.rs
@@ -157,11 +157,7 @@
         tracing::debug!(%job, "cancelled with a job that it needs");
         j.cancelled_by_need = true;
         j.cancel_wanted = true;
-        let waiting = std::mem::take(&mut j.withdrawals);
-        let status = j.status();
-        for to in waiting {
-            self.answer(to, super::answers::Answer::final_state(status.clone()));
-        }
+        self.answer_withdrawals(job);
         self.write_record(now, job);
     }
 
--- a/src/coordination/reconciler.rs
+++ b/src/coordination/reconciler.rs
@@ -113,7 +113,7 @@
     let decoded = record.as_ref().map(|e| JobRecord::decode(&e.value));
     let decoded = decoded.transpose();
     let known = decoded.as_ref().ok().and_then(Option::as_ref);
-    let waiting = known.filter(|r| r.begun == 0 && r.final_standing().is_none() && !r.spec.awaits.is_empty());
+    let waiting = known.filter(|record| record.may_wait());
     let waits = waiting.is_some();
     let names_blocks = known.is_some_and(|record| record.block_tasks.is_some());
     let lost_need = match waiting {
--- a/src/coordination/record_writing.rs
+++ b/src/coordination/record_writing.rs
@@ -290,12 +290,7 @@
     /// A job's final state is committed: it is told, and those that need the job follow.
     fn became_final(&mut self, now: Instant, job: &JobId, standing: Standing) {
         tracing::debug!(%job, standing = standing.word(), "job is over");
-        let Some(j) = self.jobs.get_mut(job) else { return };
-        let waiting = std::mem::take(&mut j.withdrawals);
-        let status = j.status();
-        for to in waiting {
-            self.answer(to, Answer::final_state(status.clone()));
-        }
+        self.answer_withdrawals(job);
         match standing {
             Standing::Done => self.release_dependents(now, job),
             _ => self.cancel_dependents(now, job),
@@ -304,6 +299,16 @@
         self.try_move(job);
     }
 
+    /// Tells a job's final state to those who have asked to cancel it.
+    pub(super) fn answer_withdrawals(&mut self, job: &JobId) {
+        let Some(j) = self.jobs.get_mut(job) else { return };
+        let waiting = std::mem::take(&mut j.withdrawals);
+        let status = j.status();
+        for to in waiting {
+            self.answer(to, Answer::final_state(status.clone()));
+        }
+    }
+
     /// The service takes no value of that size any more. The write is not lost: it is made
     /// again in a smaller form, and holds nothing else up.
     fn record_refused(&mut self, now: Instant, job: &JobId, written: Written) {
--- a/src/coordination/tests/records.rs
+++ b/src/coordination/tests/records.rs
@@ -3,7 +3,10 @@
 use ciborium::value::Value;
 
 use super::*;
-use crate::protocol::cbor::json_size;
+use crate::protocol::cbor::{encode, json_size};
+use crate::protocol::state::{decode_committed, decode_entry, encode_commit};
+use crate::storage::stand_in::StoreState;
+use crate::transport::codec::Request;
 
 #[test]
 fn a_settle_is_recorded_before_the_row_and_before_the_worker_may_forget() {
@@ -151,35 +154,35 @@
     assert!(written >= 30, "only {written} jobs' done tasks were written");
 }
 
-/// The state service of a test that keeps what was committed, and can be read at any point.
-#[derive(Default)]
-struct Kept(std::collections::BTreeMap<String, (Value, u64)>);
-
-impl Kept {
-    fn commit(&mut self, version: u64, transaction: &Transaction) {
-        for condition in &transaction.conditions {
-            let found = self.0.get(&condition.key).map_or(0, |(_, version)| *version);
-            assert_eq!(found, condition.version, "{}", condition.key);
-        }
-        for change in &transaction.changes {
-            match change {
-                Change::Put { key, value, .. } => drop(self.0.insert(key.clone(), (value.clone(), version))),
-                Change::Delete { key } => drop(self.0.remove(key)),
-            }
-        }
+/// Asks the stand-in of the state service to carry a transaction out.
+fn carry_out(state: &mut StoreState, transaction: &Transaction) -> Result<u64, StoreError> {
+    let body = encode(&encode_commit(&transaction.conditions, &transaction.changes));
+    let request = Request { method: "POST".into(), target: "/commit".into(), body, close: false };
+    match state.answer(&request) {
+        Some((200, body)) => Ok(decode_committed(&body).expect("a revision")),
+        Some((400, _)) => Err(StoreError::Rejected),
+        other => panic!("{:?}: {other:?}", transaction.conditions),
     }
+}
 
-    /// The done tasks as a new leader reads them.
-    fn done(&self, job: &str) -> Vec<u32> {
-        let mut record = JobRecord::decode(&self.0[&format!("rec/{job}")].0).expect("readable");
-        let layout = record.layout(8.0);
-        for block in 0..layout.blocks(record.spec.tasks) {
-            if let Some((value, _)) = self.0.get(&layout.block_key(&record.spec.id, block)) {
-                record.add_block(value).expect("readable");
-            }
+fn read(state: &mut StoreState, key: &str) -> Option<Value> {
+    let target = format!("/keys/{key}");
+    let request = Request { method: "GET".into(), target, body: Vec::new(), close: false };
+    let (status, body) = state.answer(&request).expect("answered");
+    (status == 200).then(|| decode_entry(&body).expect("an entry").value)
+}
+
+/// The done tasks as a new leader reads them.
+fn done_by_records(state: &mut StoreState, job: &str) -> Vec<u32> {
+    let value = read(state, &format!("rec/{job}")).expect("a record");
+    let mut record = JobRecord::decode(&value).expect("readable");
+    let layout = record.layout(8.0);
+    for block in 0..layout.blocks(record.spec.tasks) {
+        if let Some(value) = read(state, &layout.block_key(&record.spec.id, block)) {
+            record.add_block(&value).expect("readable");
         }
-        (0..record.spec.tasks).filter(|task| record.done.contains(*task)).collect()
     }
+    (0..record.spec.tasks).filter(|task| record.done.contains(*task)).collect()
 }
 
 /// Limits fall while a job's done tasks fill more than a value may hold by then: they move
@@ -191,20 +194,26 @@
     let next = settings::NextState { rps: None, write_rps: None, value_kb: Some(1.0), txn_ops: Some(4) };
     config.settings.cluster.state.next = Some(next);
     let limits = config.settings.cluster.state.announced();
+    let size = |change: &Change| match change {
+        Change::Put { value, .. } => json_size(value),
+        Change::Delete { .. } => 0,
+    };
     for tasks in [20_000, 60_000] {
-        let mut kept = Kept::default();
+        let mut state = StoreState::with_pages_of(500);
         let mut job = loaded_job(sample("job-1", "red", tasks, 1.0));
         let recorded: Vec<u32> = (0..tasks).step_by(2).collect();
         recorded.iter().for_each(|task| assert!(job.record.done.insert(*task)));
         let layout = job.record.layout(8.0);
-        job.block_versions = vec![4; layout.blocks(tasks) as usize];
-        kept.0.insert("rec/job-1".into(), (job.record.encode(8.0), 5));
-        for block in 0..layout.blocks(tasks) {
-            let value = job.record.encode_block(block, 8.0);
-            kept.0.insert(layout.block_key(&id("job-1"), block), (value, 4));
-        }
-        let before = kept.0.values().map(|(value, _)| json_size(value)).max();
+        let put = |key: String, value| Change::Put { key, value, lease: None };
+        let blocks = (0..layout.blocks(tasks))
+            .map(|block| put(layout.block_key(&id("job-1"), block), job.record.encode_block(block, 8.0)));
+        let changes: Vec<Change> = blocks.chain([put("rec/job-1".into(), job.record.encode(8.0))]).collect();
+        let before = changes.iter().map(size).max();
         assert!(before > Some(limits.value_bytes()), "{before:?}");
+        let written = Transaction { class: Class::Rest, epoch: EPOCH, conditions: Vec::new(), changes };
+        job.version = carry_out(&mut state, &written).expect("no limits yet");
+        job.block_versions = vec![job.version; layout.blocks(tasks) as usize];
+        state.limit(limits);
         let config = Config { settings: config.settings.clone(), tuning: config.tuning };
         let mut rig = Rig::configured(vec![job], Vec::new(), config);
         rig.leader.mark_done(rig.now, &id("job-1"), 1);
@@ -212,38 +221,27 @@
         let (mut refused, mut committed, mut expected) = (0, 0, recorded.clone());
         while !rig.commits.is_empty() {
             let (ticket, transaction) = rig.commits.remove(0);
-            let size = |change: &Change| match change {
-                Change::Put { value, .. } => json_size(value),
-                Change::Delete { .. } => 0,
-            };
-            let beyond = transaction.changes.iter().map(size).max() > Some(limits.value_bytes());
             assert!(transaction.changes.len() <= limits.txn_ops, "{}", transaction.changes.len());
-            rig.version += 1;
-            if beyond {
-                refused += 1;
-                rig.leader.committed(rig.now, ticket, Err(StoreError::Rejected));
-            } else {
-                committed += 1;
-                kept.commit(rig.version, &transaction);
-                rig.leader.committed(rig.now, ticket, Ok(rig.version));
-            }
+            let result = carry_out(&mut state, &transaction);
+            refused += usize::from(result.is_err());
+            committed += usize::from(result.is_ok());
+            rig.leader.committed(rig.now, ticket, result);
             if committed == 2 {
                 // One more ends while the others are being moved.
                 rig.leader.mark_done(rig.now, &id("job-1"), 3);
             }
             rig.collect();
-            let done = kept.done("job-1");
+            let done = done_by_records(&mut state, "job-1");
             assert!(recorded.iter().all(|task| done.binary_search(task).is_ok()), "after {committed}");
             rig.pass(1.0);
         }
         rig.pass(10.0);
         for (_, transaction) in std::mem::take(&mut rig.commits) {
-            rig.version += 1;
-            kept.commit(rig.version, &transaction);
+            carry_out(&mut state, &transaction).expect("within the limits");
         }
         expected.extend([1, 3]);
         expected.sort_unstable();
-        assert_eq!(kept.done("job-1"), expected);
+        assert_eq!(done_by_records(&mut state, "job-1"), expected);
         assert_eq!(refused, 1, "{tasks} tasks: once is notice enough");
         assert!(!rig.leader.is_over() && committed > 3);
     }
--- a/src/storage/records.rs
+++ b/src/storage/records.rs
@@ -114,11 +114,6 @@
     }
 }
 
-/// Blocks that a record without a named layout has beside it.
-pub fn blocks(tasks: u32, value_kb: f64) -> u32 {
-    Layout::derived(tasks, value_kb).blocks(tasks)
-}
-
 #[derive(Debug, Clone, PartialEq)]
 pub struct JobRecord {
     pub spec: JobSpec,
@@ -232,6 +227,12 @@
         }
     }
 
+    /// Whether its tasks may have to wait for other jobs. One that has begun was released
+    /// before, and its needs are done.
+    pub fn may_wait(&self) -> bool {
+        !self.spec.awaits.is_empty() && self.begun == 0 && self.final_standing().is_none()
+    }
+
     /// What the record alone supports telling a user.
     pub fn status(&self) -> JobStatus {
         let standing = self.final_standing().unwrap_or(Standing::Queued);
--- a/src/storage/records/tests.rs
+++ b/src/storage/records/tests.rs
@@ -10,7 +10,7 @@
     let mut record = JobRecord::new(sample("job-1", "red", 100_000, 1.0), 0);
     (0..100_000).step_by(2).for_each(|n| assert!(record.done.insert(n)));
     let mut back = JobRecord::decode(&record.encode(value_kb)).expect("readable");
-    let count = blocks(100_000, value_kb);
+    let count = record.layout(value_kb).blocks(100_000);
     for block in 0..count {
         let value = record.encode_block(block, value_kb);
         assert!(json_size(&value) < 8 * 1024, "block {block} takes {}", json_size(&value));
--- a/src/storage/service/actor.rs
+++ b/src/storage/service/actor.rs
@@ -61,21 +61,15 @@
 /// Part of a second's allowance that may be spent at once.
 const BURST_RATIO: f64 = 0.8;
 
-/// The parts of the burst that settles leave to acceptances and cancellations, and that
-/// everything after settles leaves to those.
-const SETTLE_RESERVE: f64 = 0.6;
-const PROGRESS_RESERVE: f64 = 0.8;
+/// The part of the burst that each class leaves to those before it.
+const RESERVED_PARTS: [f64; CLASSES] = [0.0, 0.0, 0.0, 0.6, 0.8, 0.8];
 
 /// Changes that a class leaves in an allowance with such a burst for those before it. What
 /// nobody waits for would otherwise use all of it up as it comes, and each acceptance would
 /// wait until the allowance has refilled by what it takes.
 pub(super) fn write_reserve(class: usize, burst: f64) -> f64 {
-    match class {
-        _ if class == Class::Renewal as usize => 0.0,
-        _ if class < Class::Settle as usize => 1.0,
-        _ if class == Class::Settle as usize => burst * SETTLE_RESERVE,
-        _ => burst * PROGRESS_RESERVE,
-    }
+    let least = if class == Class::Renewal as usize { 0.0 } else { 1.0 };
+    (burst * RESERVED_PARTS[class]).max(least)
 }
 
 /// The part of the service's allowance that this controller takes.
@@ -215,9 +209,9 @@
                 Request::Raw { .. } => 0.0,
                 Request::Commit(pending) => pending.transaction.changes.len() as f64,
             };
-            let write_reserve = if writes == 0.0 { 0.0 } else { write_reserve(class, self.writes.burst()) };
-            if !self.writes.allows(now, writes, write_reserve) {
-                return Some(self.writes.wait(writes, write_reserve).max(Duration::from_millis(2)));
+            let reserve = if writes == 0.0 { 0.0 } else { write_reserve(class, self.writes.burst()) };
+            if !self.writes.allows(now, writes, reserve) {
+                return Some(self.writes.wait(writes, reserve).max(Duration::from_millis(2)));
             }
             self.requests.spend(1.0);
             match self.queues[class].pop_front()? {
