--- a/src/coordination/tests/mod.rs
+++ b/src/coordination/tests/mod.rs
@@ -14,6 +14,7 @@
 mod sequences;
 mod simulation;
 mod takeover;
+mod unreadable;
 
 use std::sync::Arc;
 use std::time::Duration;
--- /dev/null
+++ b/src/coordination/tests/unreadable.rs
@@ -0,0 +1,117 @@
+//! What cannot be read is not known; it is never taken for absent. See
+//! `docs/incidents/inc-production-size.md`.
+
+use ciborium::value::Value;
+
+use super::super::loading;
+use super::*;
+use crate::protocol::cbor::MapBuilder;
+use crate::protocol::cloud::encode_catalog;
+use crate::storage::records::{CATALOG, rental_key, row};
+use crate::storage::stand_in::{StandIn, store};
+
+/// A value that no build writes.
+fn damaged() -> Value {
+    MapBuilder::new().set("damaged", true).build()
+}
+
+/// The state service as an earlier leader has left it.
+async fn left_behind(entries: Vec<(String, Value)>) -> Loaded {
+    let stand_in = StandIn::start(&[]).await;
+    stand_in.seed(CATALOG, encode_catalog(&catalog()), 2).await;
+    for (key, value) in entries {
+        stand_in.seed(&key, value, 5).await;
+    }
+    loading::load(&store(stand_in.address(), 12), 8.0).await.expect("the state service answers")
+}
+
+/// A new leader with what it has read.
+fn leading(loaded: Loaded) -> Rig {
+    let mut rig = Rig::new(Vec::new(), Vec::new());
+    rig.leader = Leader::new(rig.config.clone(), EPOCH, rig.now, MS, loaded);
+    rig.leader.extend(rig.now, rig.now + Duration::from_secs(3600));
+    rig.collect();
+    rig
+}
+
+fn live_job(record: &JobRecord) -> Vec<(String, Value)> {
+    let job = &record.spec.id;
+    vec![(record_key(job), record.encode(8.0)), (live_key(job), row(Standing::Queued))]
+}
+
+fn fleet_record(name: &str) -> (String, Value) {
+    let (record, _) = rented(name, true);
+    (rental_key(&record.request.name), record.encode())
+}
+
+/// A fleet record that cannot be read names machines that may hold tasks. A leader that
+/// counts it as none starts those tasks a second time, and the first ones run on unknown.
+#[tokio::test]
+async fn machines_of_an_unreadable_fleet_record_are_waited_for() {
+    let record = JobRecord { begun: 1, ..JobRecord::new(sample("job-1", "red", 1, 1.0), MS) };
+    let mut entries = live_job(&record);
+    entries.extend([fleet_record("vm-1"), (rental_key("1-vm-2"), damaged())]);
+    let mut rig = leading(left_behind(entries).await);
+    let mut seq = 1;
+    let waits_until = rig.leader.loaded_at + rig.config.takeover_proof();
+    while rig.now + Duration::from_secs(1) < waits_until {
+        assert_eq!(starts(&rig.beat("vm-1", seq, EPOCH, vec![])), vec![], "vm-2 may run it");
+        seq += 1;
+        rig.pass(1.0);
+        rig.commit_all();
+    }
+    // That ends by itself: by then the machines have lost their leases.
+    rig.pass(rig.config.lease_proof().as_secs_f64() * 2.0);
+    assert_eq!(starts(&rig.beat("vm-1", seq, EPOCH, vec![])).len(), 1);
+}
+
+/// One record that cannot be read holds back the jobs that await it, and nothing else: not
+/// the takeover, and not those that await others.
+#[tokio::test]
+async fn an_unreadable_need_holds_back_only_what_awaits_it() {
+    let awaiting = |job: &str, need: &str| {
+        JobRecord::new(JobSpec { awaits: vec![id(need)], ..sample(job, "red", 1, 1.0) }, MS)
+    };
+    let done = JobRecord { settled: true, begun: 1, ..JobRecord::new(sample("job-2", "red", 1, 1.0), MS) };
+    let mut entries = live_job(&awaiting("job-3", "job-1"));
+    entries.extend(live_job(&awaiting("job-4", "job-2")));
+    entries.extend([(record_key(&id("job-1")), damaged()), (record_key(&id("job-2")), done.encode(8.0))]);
+    entries.push(fleet_record("vm-1"));
+    let loaded = tokio::time::timeout(Duration::from_secs(20), left_behind(entries)).await;
+    let mut rig = leading(loaded.expect("read"));
+    rig.beat("vm-1", 1, EPOCH, vec![]);
+    rig.commit_all();
+    let started: Vec<JobId> =
+        starts(&rig.beat("vm-1", 2, EPOCH, vec![])).into_iter().map(|(task, _)| task.job).collect();
+    assert_eq!(started, [id("job-4")]);
+    assert_eq!(rig.standing("job-3"), Some(Standing::Queued));
+}
+
+/// A job whose row was stranded is awaited by another that was read at the takeover. It is
+/// submitted once more, which conflicts with its record, and then comes back by the
+/// reconciler: its cancellation must reach the job that awaits it.
+#[test]
+fn a_conflicting_acceptance_does_not_cut_off_the_jobs_that_await_it() {
+    let unbegun = |spec: JobSpec| LoadedJob {
+        record: JobRecord::new(spec, MS),
+        ..loaded_job(sample("job-0", "red", 1, 1.0))
+    };
+    let stranded = sample("job-1", "red", 1, 1.0);
+    let dependent = JobSpec { awaits: vec![id("job-1")], ..sample("job-2", "red", 1, 1.0) };
+    let (record, version) = rented("vm-1", true);
+    let mut rig = leading(Loaded {
+        jobs: vec![unbegun(dependent)],
+        needs: [(id("job-1"), super::super::pipelines::NeedState::Unfinished)].into_iter().collect(),
+        rentals: vec![(record, version)],
+        catalog: Some((catalog(), 2)),
+        ..Loaded::default()
+    });
+    rig.submit(stranded.clone());
+    rig.fail_commit(StoreError::Conflict);
+    let restored = Loaded { jobs: vec![unbegun(stranded)], ..Loaded::default() };
+    rig.leader.restore(rig.now, MS, restored);
+    rig.collect();
+    rig.withdraw("job-1");
+    rig.commit_all();
+    assert_eq!(rig.standing("job-2"), Some(Standing::Cancelled), "a job before it is cancelled");
+}
