Take what cannot be read for unknown, not for absent (class: absence as permission)

Now a leader keeps the keys of what it could not read (`unreadable`), holds back what depends on them and only that, reads them again a few at a time, and shows the number in `status`. Machines that no readable record names count as unheard and against every limit until their leases are over; jobs that await an unreadable one wait; a result of one is not reaped; tasks of unknown jobs are stopped, counted, and their machine counts against the limits until they are gone. A job whose needs the graph does not hold is not released by that. An unreadable block of done tasks leaves the job alone (its done tasks ran again).

Excluded: rows read in pieces (every earlier write is fenced before the reading), unknown outcomes of acceptances (read back before they are reported), `begun` with unfinished needs (its two writers check the release). That this is what was seen at production size is not shown: it needs a damaged record, or a stranded row.

--- a/src/coordination/agents.rs
+++ b/src/coordination/agents.rs
@@ -11,7 +11,7 @@
 use super::leader::Leader;
 use super::model::{Phase, Resources, SlotKey, SlotState};
 use crate::maps::HashSet;
-use crate::protocol::jobs::JobId;
+use crate::protocol::jobs::{JobId, TaskId};
 use crate::protocol::workers::{ExitCause, MachineId, Order, Report, TaskReport, TaskState};
 
 /// Most orders in one answer; more follow with the next report. Keeps the
@@ -55,7 +55,11 @@
             // Under an earlier token it may be a late copy, of a machine long
             // deleted. A live one shows our token with its next report, and
             // only then it is entered. No machine that no record names was
-            // ever given a start, so the answer keeps nothing alive.
+            // ever given a start, so the answer keeps nothing alive; unless a
+            // record cannot be read.
+            if self.hidden_machines && !self.may_answer_hidden(now) {
+                return ReportReply::Elsewhere;
+            }
             if report.token == epoch {
                 self.note_unexpected(now, &report.machine, &report.machine_type, &report.zone, report.spot);
             }
@@ -283,6 +287,10 @@
             }
         }
         let Some(m) = self.machines.get_mut(machine) else { return };
+        if foreign && !m.foreign {
+            self.note_unknown_tasks(report);
+        }
+        let Some(m) = self.machines.get_mut(machine) else { return };
         m.foreign = foreign;
         // A slot that is not listed is free: either its start went into the
         // answer to an earlier report, which the worker has dropped by now, or
@@ -308,6 +316,28 @@
         }
     }
 
+    /// A machine shows tasks whose jobs are not in the picture: they are stopped, and its
+    /// room counts as taken, against every limit, until they are gone.
+    fn note_unknown_tasks(&mut self, report: &Report) {
+        let is_there = |task: &&TaskReport| !matches!(task.state, TaskState::Exited(_));
+        let unknown = report.tasks.iter().filter(is_there).filter(|t| !self.jobs.contains_key(&t.task.job));
+        let count = unknown.clone().count();
+        if let Some(first) = unknown.clone().next() {
+            tracing::error!(
+                epoch = self.epoch,
+                machine = %report.machine,
+                count,
+                job = %first.task.job,
+                task = first.task.index,
+                attempt = first.attempt,
+                "tasks of jobs that are not in the picture; stopping them"
+            );
+        }
+        self.unknown_tasks += count as u64;
+        // What they take is counted with the queue's order.
+        self.queue_at = None;
+    }
+
     /// A task that is on the machine. False if its job is not known.
     fn take_present(
         &mut self,
@@ -423,15 +453,7 @@
             let name = task.task.clone();
             match task.state {
                 TaskState::Exited(cause) => {
-                    // The record must know that it is done before the worker
-                    // may forget it. A job that is not in the picture is over.
-                    let unrecorded = cause == ExitCause::Done
-                        && self.jobs.get(job).is_some_and(|j| {
-                            j.record.final_standing().is_none()
-                                && !j.is_service()
-                                && !j.recorded.contains(name.index)
-                        });
-                    if !unrecorded {
+                    if !(cause == ExitCause::Done && self.may_be_unrecorded(&name)) {
                         orders.push(Order::Forget { task: name, attempt });
                     }
                 }
@@ -455,6 +477,45 @@
         orders
     }
 
+    /// Whether the record of a job may not say yet that a task of it is done: the worker
+    /// must not forget it before. A job that is not in the picture is over, or cannot be
+    /// read.
+    fn may_be_unrecorded(&self, task: &TaskId) -> bool {
+        match self.jobs.get(&task.job) {
+            Some(job) => {
+                job.record.final_standing().is_none()
+                    && !job.is_service()
+                    && !job.recorded.contains(task.index)
+            }
+            None => self.unreadable.contains_job(&task.job),
+        }
+    }
+
+    /// Whether a machine that is not in the picture may be answered while a fleet record
+    /// cannot be read. Each answer may keep alive tasks that nobody counts, so they end
+    /// after a lease: by then a live machine has been entered.
+    fn may_answer_hidden(&mut self, now: Instant) -> bool {
+        let lease = self.config.settings.cluster.workers.lease();
+        let may = now < self.loaded_at + lease;
+        if may {
+            self.hidden_answered = Some(now);
+        }
+        may
+    }
+
+    /// Machines whose fleet record cannot be read, and that have not been heard, have lost
+    /// their leases by now.
+    pub(super) fn prove_hidden_machines(&mut self, now: Instant) {
+        let answered = self.hidden_answered.map(|at| at + self.config.lease_proof());
+        if !self.hidden_machines || now < self.unheard_proof() || answered.is_some_and(|proof| now < proof) {
+            return;
+        }
+        tracing::info!(epoch = self.epoch, "machines of unreadable fleet records have lost their leases");
+        self.hidden_machines = false;
+        self.queue_at = None;
+        self.check_recovered();
+    }
+
     /// Before the first start on a machine its record says so.
     fn mark_used(&mut self, machine: &MachineId) {
         let Some(m) = self.machines.get_mut(machine) else { return };
--- a/src/coordination/dependencies.rs
+++ b/src/coordination/dependencies.rs
@@ -116,9 +116,10 @@
         self.bequeath(job);
     }
 
-    /// Whether a job that it needs is not done yet.
-    pub fn is_waiting(&self, job: &JobId) -> bool {
-        self.nodes.get(job).is_some_and(|node| !node.awaited.is_empty() || node.fate == Fate::Cancelled)
+    /// Whether a job that awaits others is known to wait for none of them any more. One
+    /// that the graph does not hold is not: absence proves nothing.
+    pub fn is_released(&self, job: &JobId) -> bool {
+        self.nodes.get(job).is_some_and(|node| node.awaited.is_empty() && node.fate != Fate::Cancelled)
     }
 
     /// What the cancellation of jobs that it needs means for a job.
@@ -170,7 +171,19 @@
         all
     }
 
-    /// A job has left: its record is final, or it was not accepted.
+    /// A job was not accepted now: what it names counts for nothing. Those that await it
+    /// know of an earlier acceptance, and still do.
+    pub fn withdraw(&mut self, job: &JobId) {
+        let Some(node) = self.nodes.get_mut(job) else { return };
+        let dependents = std::mem::take(&mut node.dependents);
+        self.remove(job);
+        if !dependents.is_empty() {
+            self.nodes.insert(job.clone(), Node { dependents, ..Node::without_needs() });
+            self.inherit_anew(job);
+        }
+    }
+
+    /// A job has left: its record is final.
     pub fn remove(&mut self, job: &JobId) {
         let Some(node) = self.nodes.remove(job) else { return };
         for need in &node.awaited {
--- a/src/coordination/dependencies/tests.rs
+++ b/src/coordination/dependencies/tests.rs
@@ -32,7 +32,7 @@
     let mut graph = graph(&[("b", &["a"]), ("c", &["a"]), ("d", &["b", "c"])]);
     assert_eq!(names(graph.settled(&id("a"))), ["b", "c"]);
     assert!(graph.settled(&id("b")).is_empty());
-    assert!(graph.is_waiting(&id("d")) && !graph.is_waiting(&id("c")));
+    assert!(!graph.is_released(&id("d")) && graph.is_released(&id("c")));
     assert_eq!(names(graph.settled(&id("c"))), ["d"]);
     assert!(graph.settled(&id("c")).is_empty(), "a second time says nothing new");
 }
@@ -61,7 +61,7 @@
     graph.insert(&id("g"), plain(&["f", "y"]));
     assert_eq!(graph.fate(&id("g")), Fate::Cancelled);
     assert!(graph.settled(&id("c")).is_empty(), "a cancelled job is never released");
-    assert!(graph.is_waiting(&id("d")));
+    assert!(!graph.is_released(&id("d")));
     assert_eq!(names(graph.settled(&id("x"))), ["y"]);
 }
 
@@ -115,3 +115,31 @@
     graph.remove(&id("last"));
     assert!(graph.nodes.is_empty());
 }
+
+/// A job that the graph does not hold may wait for anything.
+#[test]
+fn absence_is_no_release() {
+    let mut graph = Dependencies::default();
+    assert!(!graph.is_released(&id("a")));
+    graph.insert(&id("b"), plain(&["a"]));
+    assert!(!graph.is_released(&id("b")));
+    graph.settled(&id("a"));
+    assert!(graph.is_released(&id("b")));
+    graph.remove(&id("b"));
+    assert!(!graph.is_released(&id("b")));
+}
+
+/// An acceptance that is refused takes nothing from the jobs that await the same job.
+#[test]
+fn a_job_that_is_not_accepted_keeps_its_dependents() {
+    let mut graph = Dependencies::default();
+    graph.insert(&id("c"), plain(&["b"]));
+    graph.insert(&id("b"), plain(&["a"]));
+    graph.withdraw(&id("b"));
+    assert!(graph.cancelled(&id("a")).is_empty(), "what it named counts for nothing");
+    assert_eq!(graph.cancelled(&id("b")), [id("c")]);
+    graph.withdraw(&id("d"));
+    graph.insert(&id("e"), plain(&[]));
+    graph.withdraw(&id("e"));
+    assert!(!graph.is_released(&id("e")));
+}
--- a/src/coordination/figures.rs
+++ b/src/coordination/figures.rs
@@ -35,6 +35,8 @@
             .set("machinesDoubted", self.machines.values().filter(|m| m.doubted).count() as u64)
             .set("accountedFor", self.recovered)
             .set("submissionsRefused", self.refused)
+            .set("recordsUnreadable", self.unreadable.len() as u64)
+            .set("tasksOfUnknownJobs", self.unknown_tasks)
     }
 
     /// For the log.
--- a/src/coordination/intake.rs
+++ b/src/coordination/intake.rs
@@ -155,20 +155,20 @@
             }
             // It was accepted earlier and is over: the record tells.
             Err(StoreError::Conflict) => {
-                self.dependencies.remove(&job);
+                self.forget_refused(&job);
                 for to in waiting {
                     let otherwise = Answer::later(503, "try again", 1);
                     self.actions.push(Action::LookUp { to, job: job.clone(), otherwise });
                 }
             }
             Err(StoreError::Rejected) => {
-                self.dependencies.remove(&job);
+                self.forget_refused(&job);
                 for to in waiting {
                     self.refuse_unless_accepted(to, job.clone(), "its description is too large for a record");
                 }
             }
             Err(_) => {
-                self.dependencies.remove(&job);
+                self.forget_refused(&job);
                 for to in waiting {
                     self.answer(to, Answer::later(503, "could not be recorded", 1));
                 }
@@ -176,6 +176,14 @@
         }
     }
 
+    /// An acceptance was not carried out now. A job that the reconciler has brought back
+    /// meanwhile keeps its place in the graph.
+    fn forget_refused(&mut self, job: &JobId) {
+        if !self.jobs.contains_key(job) {
+            self.dependencies.withdraw(job);
+        }
+    }
+
     /// What the picture says of a job; `None` if the store must be asked.
     pub fn poll(&self, now: Instant, job: &JobId) -> Option<Answer> {
         // Whoever reads the record may know more while a final write is under way.
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -24,6 +24,7 @@
 use super::renting::{Backoff, Offer};
 use super::scheduler::Ranked;
 use super::sizes::Sizes;
+use super::unreadable::Unreadable;
 use super::urgency::PromptNeed;
 use crate::maps::{HashMap, HashSet};
 use crate::policy::Tuning;
@@ -32,7 +33,9 @@
 use crate::protocol::state::{Change, Condition};
 use crate::protocol::workers::{ANSWER_WITHIN, MachineId, Order};
 use crate::settings::{Settings, StateLimits};
-use crate::storage::records::{CATALOG, EXPERIENCE, Experience, JobRecord, RentalRecord, rental_key};
+use crate::storage::records::{
+    CATALOG, EXPERIENCE, Experience, JobRecord, RentalRecord, record_key, rental_key,
+};
 use crate::storage::service::{Class, StoreError, Transaction};
 
 /// What is to be done outside.
@@ -115,6 +118,10 @@
     pub rentals: Vec<(RentalRecord, u64)>,
     pub catalog: Option<(Vec<MachineType>, u64)>,
     pub experience: Option<(Experience, u64)>,
+    /// What is there and cannot be read.
+    pub unreadable: Unreadable,
+    /// Keys that could not be read before, and are no more.
+    pub gone: Vec<String>,
 }
 
 #[derive(Debug)]
@@ -231,6 +238,13 @@
     pub(super) next_rental: u32,
     pub(super) slow_tick_at: Instant,
     pub(super) recovered: bool,
+    pub(super) unreadable: Unreadable,
+    /// Machines that no readable record names may hold tasks.
+    pub(super) hidden_machines: bool,
+    /// When a machine that is not in the picture was last answered while that was so.
+    pub(super) hidden_answered: Option<Instant>,
+    /// Tasks reported under this epoch's token whose job is not in the picture.
+    pub(super) unknown_tasks: u64,
     /// A machine that was not known when that was last looked at: while it is not, there
     /// is nothing to look for.
     unknown_machine: Option<MachineId>,
@@ -314,6 +328,10 @@
             next_rental: 0,
             slow_tick_at: now,
             recovered: false,
+            hidden_machines: loaded.unreadable.hides_machines(),
+            hidden_answered: None,
+            unreadable: loaded.unreadable,
+            unknown_tasks: 0,
             unknown_machine: None,
             refused: 0,
             prompt_classes: HashMap::default(),
@@ -470,6 +488,7 @@
         self.flush_records(now);
         self.enter_unexpected(now);
         self.prove_silent_machines(now);
+        self.prove_hidden_machines(now);
         if slow {
             self.begin_next(now);
             self.fleet_tick(now);
@@ -504,7 +523,7 @@
 
     /// A new job as the store now has it.
     pub(super) fn insert_job(&mut self, now: Instant, record: JobRecord, version: u64) {
-        let waits = self.dependencies.is_waiting(&record.spec.id);
+        let waits = !record.spec.awaits.is_empty() && !self.dependencies.is_released(&record.spec.id);
         let layout = record.layout(self.config.settings.cluster.state.value_kb);
         let count = layout.blocks(record.spec.tasks);
         let mut job = Job::new(record, version, version, now, count);
@@ -579,7 +598,7 @@
 
     /// Notes when all that was on machines before is known; what waited for it goes on.
     pub(super) fn check_recovered(&mut self) {
-        if self.recovered || self.catalog.is_empty() || !self.has_recovered() {
+        if self.recovered || self.hidden_machines || self.catalog.is_empty() || !self.has_recovered() {
             return;
         }
         self.recovered = true;
@@ -595,8 +614,17 @@
         }
     }
 
-    /// Takes jobs in that the reconciler brought back among the living.
+    /// Takes in what was read after the takeover: jobs that the reconciler brought back
+    /// among the living, and what could not be read before.
     pub fn restore(&mut self, now: Instant, now_ms: u64, restored: Loaded) {
+        for key in &restored.gone {
+            self.unreadable.forget(key);
+        }
+        for job in &restored.jobs {
+            self.unreadable.forget(&record_key(&job.record.spec.id));
+        }
+        self.unreadable.extend(restored.unreadable);
+        self.restore_rentals(now, restored.rentals);
         let new = |job: &LoadedJob| !self.jobs.contains_key(&job.record.spec.id);
         let jobs: Vec<LoadedJob> = restored.jobs.into_iter().filter(new).collect();
         let ids: Vec<JobId> = jobs.iter().map(|job| job.record.spec.id.clone()).collect();
@@ -608,6 +636,24 @@
         }
     }
 
+    /// Enters fleet records that could not be read at the takeover. Whether their machines
+    /// hold tasks is known of each from its own reports from now on.
+    fn restore_rentals(&mut self, now: Instant, rentals: Vec<(RentalRecord, u64)>) {
+        for (record, version) in rentals {
+            let name = record.request.name.clone();
+            self.unreadable.forget(&rental_key(&name));
+            if !self.rentals.contains_key(&name) {
+                self.rentals.insert(name.clone(), Rental::new(record, version, now));
+                self.enter_rented(now, &name);
+            }
+        }
+    }
+
+    /// What cannot be read and is to be read again, after that key.
+    pub fn unreadable_after(&self, key: &str, most: usize) -> Vec<String> {
+        self.unreadable.next_keys(key, most)
+    }
+
     /// Takes in jobs as they were read, all of them before what they wait for.
     fn insert_all_loaded(&mut self, now: Instant, now_ms: u64, jobs: Vec<LoadedJob>, needs: &NeedStates) {
         let ids: Vec<JobId> = jobs.iter().map(|job| job.record.spec.id.clone()).collect();
--- a/src/coordination/loading.rs
+++ b/src/coordination/loading.rs
@@ -1,21 +1,23 @@
 //! What a leader reads from the store: all unfinished work and the fleet when
 //! it takes over, and later, page by page, what is over.
 
+use ciborium::value::Value;
 use tokio::task::JoinSet;
 
 use super::leader::{Loaded, LoadedJob};
 use super::pipelines::{NeedState, NeedStates};
 use super::reconciler::{self, Finding};
+use super::unreadable::Unreadable;
 use crate::maps::HashSet;
 use crate::protocol::cloud::decode_catalog;
 use crate::protocol::jobs::{JobId, Standing};
 use crate::storage::records::{
-    CATALOG, EXPERIENCE, Experience, JobRecord, LIVE, OVER, RECORDS, RENTALS, RentalRecord, record_key,
+    CATALOG, EXPERIENCE, Experience, JobRecord, LIVE, OVER, RENTALS, RentalRecord, live_key, record_key,
 };
 use crate::storage::service::{Class, Store, StoreError};
 
 /// Rows compared with their records in one round.
-const ROWS_A_ROUND: usize = 8;
+pub const ROWS_A_ROUND: usize = 8;
 
 /// One round of the reconciler: where to go on, and the jobs that a repair
 /// brought back among the living.
@@ -36,7 +38,10 @@
             tracing::error!(%job, finding = ?examined.finding, "a row differs from its record; repairing it");
             let live_version = store.commit(repair).await?;
             if examined.finding == Finding::Stranded {
-                restored.jobs.extend(load_job(store, &record_key(job), live_version, value_kb).await?);
+                match load_job(store, job, live_version, value_kb).await? {
+                    JobRead::Loaded(loaded) => restored.jobs.push(*loaded),
+                    JobRead::Unreadable => restored.unreadable.note_job(job),
+                }
             }
         }
     }
@@ -45,14 +50,46 @@
     Ok((next.unwrap_or_default(), restored))
 }
 
+/// Reads once more what could not be read before: records and fleet records that are
+/// readable by now, or gone.
+pub async fn read_again(store: &Store, keys: Vec<String>, value_kb: f64) -> Result<Loaded, StoreError> {
+    let mut found = Loaded::default();
+    for key in keys {
+        if key.starts_with(RENTALS) {
+            match store.get(Class::Rest, &key).await? {
+                Some(entry) => take_rental(&mut found, &key, &entry.value, entry.version),
+                None => found.gone.push(key),
+            }
+        } else if let Some(job) = Unreadable::job_of(&key) {
+            match store.get(Class::Rest, &live_key(&job)).await? {
+                Some(row) => match load_job(store, &job, row.version, value_kb).await? {
+                    JobRead::Loaded(loaded) => found.jobs.push(*loaded),
+                    JobRead::Unreadable => found.unreadable.note_job(&job),
+                },
+                None => found.gone.push(key),
+            }
+        }
+    }
+    found.needs = needs_of(store, &found.jobs).await?;
+    Ok(found)
+}
+
+/// Takes a fleet record in; one that does not decode is noted as unreadable.
+fn take_rental(loaded: &mut Loaded, key: &str, value: &Value, version: u64) {
+    match RentalRecord::decode(value) {
+        Ok(record) => loaded.rentals.push((record, version)),
+        Err(error) => {
+            tracing::error!(%key, %error, "unreadable fleet record: its machines may hold tasks");
+            loaded.unreadable.note_rental(key);
+        }
+    }
+}
+
 /// Reads all unfinished work and the fleet.
 pub async fn load(store: &Store, value_kb: f64) -> Result<Loaded, StoreError> {
     let mut loaded = Loaded::default();
     for entry in store.scan(RENTALS).await? {
-        match RentalRecord::decode(&entry.value) {
-            Ok(record) => loaded.rentals.push((record, entry.version)),
-            Err(error) => tracing::error!(key = %entry.key, %error, "unreadable fleet record"),
-        }
+        take_rental(&mut loaded, &entry.key, &entry.value, entry.version);
     }
     if let Some(entry) = store.get(Class::Rest, CATALOG).await?
         && let Ok(types) = decode_catalog(&entry.value)
@@ -66,15 +103,20 @@
     }
     let mut reads = JoinSet::new();
     for row in store.scan(LIVE).await? {
+        let Some(job) = row.key.strip_prefix(LIVE).and_then(JobId::parse) else {
+            tracing::error!(key = %row.key, "a row of no job; left alone");
+            continue;
+        };
         let store = store.clone();
         reads.spawn(async move {
-            let key = format!("{RECORDS}{}", row.key.strip_prefix(LIVE).unwrap_or_default());
-            load_job(&store, &key, row.version, value_kb).await
+            let read = load_job(&store, &job, row.version, value_kb).await?;
+            Ok::<_, StoreError>((job, read))
         });
     }
     while let Some(read) = reads.join_next().await {
-        if let Some(job) = read.map_err(|_| StoreError::Unavailable)?? {
-            loaded.jobs.push(job);
+        match read.map_err(|_| StoreError::Unavailable)?? {
+            (_, JobRead::Loaded(loaded_job)) => loaded.jobs.push(*loaded_job),
+            (job, JobRead::Unreadable) => loaded.unreadable.note_job(&job),
         }
     }
     loaded.needs = needs_of(store, &loaded.jobs).await?;
@@ -93,14 +135,19 @@
     read_needs(store, needs.into_iter().collect()).await
 }
 
-/// Reads what the records say of jobs that others await.
+/// Reads what the records say of jobs that others await. One that cannot be used is no
+/// reason to know nothing of the others.
 pub async fn read_needs(store: &Store, jobs: Vec<JobId>) -> Result<NeedStates, StoreError> {
     let mut reads = JoinSet::new();
     for job in jobs {
         let store = store.clone();
         reads.spawn(async move {
-            let record = read_record(&store, Class::Accept, &job).await?;
-            Ok((NeedState::of(record.as_ref()), job))
+            let state = match read_record(&store, Class::Accept, &job).await {
+                Ok(record) => NeedState::of(record.as_ref()),
+                Err(StoreError::Rejected) => NeedState::Unreadable,
+                Err(error) => return Err(error),
+            };
+            Ok((state, job))
         });
     }
     let mut states = NeedStates::default();
@@ -115,15 +162,20 @@
 /// nothing follows from it.
 pub async fn read_record(store: &Store, class: Class, job: &JobId) -> Result<Option<JobRecord>, StoreError> {
     let Some(entry) = store.get(class, &record_key(job)).await? else { return Ok(None) };
-    match JobRecord::decode(&entry.value) {
-        Ok(record) if record.spec.id == *job => Ok(Some(record)),
+    decode_record(job, &entry.value).map(Some).ok_or(StoreError::Rejected)
+}
+
+/// A job's record; `None`, and a log line, if it cannot be used.
+fn decode_record(job: &JobId, value: &Value) -> Option<JobRecord> {
+    match JobRecord::decode(value) {
+        Ok(record) if record.spec.id == *job => Some(record),
         Ok(_) => {
             tracing::error!(%job, "a record of another job");
-            Err(StoreError::Rejected)
+            None
         }
         Err(error) => {
             tracing::error!(%job, %error, "unreadable record");
-            Err(StoreError::Rejected)
+            None
         }
     }
 }
@@ -156,23 +208,27 @@
     Ok(false)
 }
 
-/// Reads one unfinished job; `None` if its record cannot be used.
+/// What reading an unfinished job came to.
+enum JobRead {
+    Loaded(Box<LoadedJob>),
+    /// Its record, or a block of its done tasks, cannot be used.
+    Unreadable,
+}
+
+/// Reads one unfinished job.
 async fn load_job(
     store: &Store,
-    key: &str,
+    job: &JobId,
     live_version: u64,
     value_kb: f64,
-) -> Result<Option<LoadedJob>, StoreError> {
-    let Some(entry) = store.get(Class::Accept, key).await? else {
-        tracing::error!(%key, "a row without a record; left alone");
-        return Ok(None);
+) -> Result<JobRead, StoreError> {
+    let Some(entry) = store.get(Class::Accept, &record_key(job)).await? else {
+        tracing::error!(%job, "a row without a record; left alone");
+        return Ok(JobRead::Unreadable);
     };
-    let mut record = match JobRecord::decode(&entry.value) {
-        Ok(record) => record,
-        Err(error) => {
-            tracing::error!(%key, %error, "unreadable record; left alone");
-            return Ok(None);
-        }
+    let mut record = match decode_record(job, &entry.value) {
+        Some(record) => record,
+        None => return Ok(JobRead::Unreadable),
     };
     let mut block_versions = Vec::new();
     let layout = record.layout(value_kb);
@@ -180,8 +236,10 @@
         let found = store.get(Class::Accept, &layout.block_key(&record.spec.id, block)).await?;
         block_versions.push(found.as_ref().map_or(0, |b| b.version));
         if let Some(Err(error)) = found.map(|b| record.add_block(&b.value)) {
-            tracing::error!(%key, %error, "unreadable block; its tasks run again");
+            // Which of its tasks are done is not known, and no done task may start again.
+            tracing::error!(%job, block, %error, "unreadable block of done tasks; the job is left alone");
+            return Ok(JobRead::Unreadable);
         }
     }
-    Ok(Some(LoadedJob { record, version: entry.version, live_version, block_versions }))
+    Ok(JobRead::Loaded(Box::new(LoadedJob { record, version: entry.version, live_version, block_versions })))
 }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -29,6 +29,7 @@
 mod slots;
 mod statistics;
 mod stopping;
+mod unreadable;
 mod urgency;
 
 #[cfg(test)]
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -29,6 +29,10 @@
 const EPSILON: f64 = 1e-6;
 
 impl Resources {
+    /// More than anybody may use.
+    pub const UNBOUNDED: Resources =
+        Resources { cpus: f64::INFINITY, gpus: f64::INFINITY, memory_gb: f64::INFINITY };
+
     pub fn of(spec: &JobSpec) -> Self {
         Resources { cpus: spec.cpus, gpus: spec.gpus, memory_gb: spec.memory_gb }
     }
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -105,6 +105,11 @@
         from: String,
         restored: Loaded,
     },
+    /// What could not be read before was read again.
+    ReadAgain {
+        epoch: u64,
+        restored: Loaded,
+    },
     /// Another controller was asked whether it leads; `None`: no answer.
     PeerAnswered {
         peer: String,
@@ -159,6 +164,8 @@
     walk_from: String,
     walk_at: Instant,
     walking: bool,
+    /// Where the reading of what could not be read before goes on.
+    read_again_from: String,
     statistics: Statistics,
 }
 
@@ -223,6 +230,7 @@
             walk_from: String::new(),
             walk_at: now,
             walking: false,
+            read_again_from: String::new(),
             statistics: Statistics::new(),
         };
         let handle = NodeHandle { users: users_in, reports: reports_in, ready: is_ready };
@@ -328,6 +336,8 @@
                             epoch,
                             jobs = loaded.jobs.len(),
                             rentals = loaded.rentals.len(),
+                            unreadable = loaded.unreadable.len(),
+                            lease_left_ms = until.saturating_duration_since(now).as_millis() as u64,
                             "records read"
                         );
                         let mut leader = Leader::new(self.config.clone(), epoch, now, wall_ms(), loaded);
@@ -369,10 +379,16 @@
             Inner::Reconciled { epoch, from, restored } => {
                 self.walking = false;
                 self.walk_from = from;
-                if let Some(leader) = self.leader.as_mut().filter(|l| l.epoch() == epoch) {
-                    leader.restore(now, wall_ms(), restored);
-                }
+                self.restore(epoch, restored);
             }
+            Inner::ReadAgain { epoch, restored } => self.restore(epoch, restored),
+        }
+    }
+
+    /// Hands what was read after the takeover to the leader that it was read for.
+    fn restore(&mut self, epoch: u64, restored: Loaded) {
+        if let Some(leader) = self.leader.as_mut().filter(|l| l.epoch() == epoch) {
+            leader.restore(Instant::now(), wall_ms(), restored);
         }
     }
 
@@ -488,10 +504,15 @@
         (self.walking, self.walk_at) = (true, now);
         let (store, inner, epoch) = (self.store.clone(), self.inner.clone(), leader.epoch());
         let (from, value_kb) = (self.walk_from.clone(), self.config.settings.cluster.state.value_kb);
+        let unreadable = leader.unreadable_after(&self.read_again_from, loading::ROWS_A_ROUND);
+        self.read_again_from = unreadable.last().cloned().unwrap_or_default();
         tokio::spawn(async move {
             let (next, restored) =
                 walk(&store, epoch, &from, value_kb).await.unwrap_or((from, Loaded::default()));
             let _ = inner.send(Inner::Reconciled { epoch, from: next, restored }).await;
+            if let Ok(restored) = loading::read_again(&store, unreadable, value_kb).await {
+                let _ = inner.send(Inner::ReadAgain { epoch, restored }).await;
+            }
         });
     }
 
--- a/src/coordination/pipelines.rs
+++ b/src/coordination/pipelines.rs
@@ -31,6 +31,8 @@
         at_ms: Option<u64>,
     },
     Cancelled,
+    /// There is a record, and it cannot be used: any of these may be.
+    Unreadable,
 }
 
 /// What was read of the jobs that others name.
@@ -86,6 +88,7 @@
                 Some(NeedState::Unfinished) if !self.jobs.contains_key(need) => {
                     return Needs::Unclear("an awaited job is not known yet");
                 }
+                Some(NeedState::Unreadable) => return Needs::Unclear("an awaited job cannot be read"),
                 Some(NeedState::Unfinished) => drop(awaited.insert(need.clone())),
                 Some(NeedState::Done { .. }) => {}
                 Some(NeedState::Cancelled) => fate = Fate::Cancelled,
--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -72,8 +72,9 @@
         self.queue = queue;
         // Machines are heard one after the other, and none becomes unheard: what
         // was counted last is never too little.
-        self.unheard = Resources::default();
-        for m in self.machines.values().filter(|m| !self.recovered && m.used && !m.known) {
+        self.unheard = if self.hidden_machines { Resources::UNBOUNDED } else { Resources::default() };
+        let unknown = |m: &&Machine| m.foreign || (!self.recovered && m.used && !m.known);
+        for m in self.machines.values().filter(unknown) {
             self.unheard.add(&self.catalog.get(m.kind).map(Resources::of_type).unwrap_or_default());
         }
         // One that has missed its time to report may be dead.
@@ -371,10 +372,8 @@
     pub(super) fn team_has_room(&self, job: &Job) -> bool {
         let Some(team) = job.team.and_then(|t| self.teams.get(t)) else { return false };
         let mut used = team.used;
-        if !self.recovered {
-            // What is on unheard machines may all be this team's.
-            used.add(&self.unheard);
-        }
+        // What is on unheard machines, or is of unknown jobs, may all be this team's.
+        used.add(&self.unheard);
         used.add(&Resources::of(job.spec()));
         used.fits(&team.limit)
     }
--- a/src/coordination/tests/pipelines.rs
+++ b/src/coordination/tests/pipelines.rs
@@ -18,7 +18,7 @@
     let mut rig = Rig::with_machines(&["vm-1"]);
     let rentals = vec![rented("vm-1", true)];
     let needs = needs.iter().map(|(need, state)| (id(need), *state)).collect();
-    let loaded = Loaded { jobs, rentals, needs, catalog: Some((catalog(), 2)), experience: None };
+    let loaded = Loaded { jobs, rentals, needs, catalog: Some((catalog(), 2)), ..Loaded::default() };
     rig.leader = Leader::new(rig.config.clone(), EPOCH, rig.now, MS, loaded);
     rig.leader.extend(rig.now, rig.now + Duration::from_secs(3600));
     rig.collect();
--- a/src/coordination/tests/sequences.rs
+++ b/src/coordination/tests/sequences.rs
@@ -31,7 +31,8 @@
             let back = [0.1, 0.4, 3.0, 8.0][r.random_range(0..4)];
             let (share, lasts) = (r.random_range(0.1..0.5), r.random_range(2.0..48.0));
             let peers = r.random_bool(0.5);
-            let fault = match r.random_range(0..18) {
+            let controller = r.random_bool(0.3).then(|| r.random_range(0..3));
+            let fault = match r.random_range(0..24) {
                 0 | 1 => Fault::Crash { controller: None, back },
                 2 => Fault::Crash { controller: Some(r.random_range(0..3)), back },
                 3 => Fault::CrashAll { back: back * r.random_range(1.0..4.0) },
@@ -48,6 +49,11 @@
                 14 => Fault::CancelNow { count: r.random_range(1..5), hang: lasts / 2.0 },
                 15 => Fault::CancelAtEnd { share: 0.6, lasts },
                 16 => Fault::Burst { jobs: r.random_range(5..25) },
+                17 | 18 => Fault::Stall { controller, lasts: r.random_range(0.2..25.0) },
+                19 => Fault::LostAnswers { share, lasts },
+                20 => Fault::DoubledWrites { share, lasts },
+                21 => Fault::SlowAnswers { share, lasts },
+                22 => Fault::PeersRefuse { lasts },
                 _ => Fault::ZoneCut { lasts },
             };
             (at, fault)
--- a/src/coordination/tests/unreadable.rs
+++ b/src/coordination/tests/unreadable.rs
@@ -112,6 +112,94 @@
     rig.leader.restore(rig.now, MS, restored);
     rig.collect();
     rig.withdraw("job-1");
+    let written = rig.commit_all();
+    let records = written.iter().flat_map(|t| &t.changes).filter_map(|change| match change {
+        Change::Put { key, value, .. } if key.starts_with("rec/") => JobRecord::decode(value).ok(),
+        _ => None,
+    });
+    let cancelled: Vec<JobId> =
+        records.filter(|record| record.cancelled).map(|record| record.spec.id).collect();
+    assert_eq!(cancelled, [id("job-1"), id("job-2")]);
+    assert_ne!(rig.standing("job-2"), Some(Standing::Queued), "a job before it is cancelled");
+}
+
+/// Nothing is known of what became of its tasks: what a machine shows of it is stopped, and
+/// a result is not forgotten before the record can say so.
+#[tokio::test]
+async fn tasks_of_an_unreadable_job_are_stopped_counted_and_their_results_kept() {
+    let mut rig = leading(
+        left_behind(vec![
+            (record_key(&id("job-1")), damaged()),
+            (live_key(&id("job-1")), row(Standing::Queued)),
+            fleet_record("vm-1"),
+        ])
+        .await,
+    );
+    rig.accept(sample("job-2", "red", 1, 1.0));
+    let task = |index| TaskId { job: id("job-1"), index };
+    let shown = |state| TaskReport { task: task(0), attempt: 7, state };
+    let ended = TaskReport { task: task(1), attempt: 8, state: DONE };
+    let orders = rig.beat("vm-1", 1, EPOCH, vec![shown(TaskState::Running), ended.clone()]);
+    assert_eq!(orders, [Order::Stop { task: task(0), attempt: 7, grace_s: 0.0 }], "nothing starts beside it");
+    assert_eq!(rig.leader.unknown_tasks, 1);
+    rig.pass(1.0);
+    let orders = rig.beat("vm-1", 2, EPOCH, vec![ended.clone()]);
+    assert!(!orders.iter().any(|order| matches!(order, Order::Forget { .. })), "{orders:?}");
+    rig.commit_all();
+    rig.pass(1.0);
+    let orders = rig.beat("vm-1", 3, EPOCH, vec![ended.clone()]);
+    assert_eq!(starts(&orders).len(), 1, "it is gone");
+    assert!(!orders.iter().any(|order| matches!(order, Order::Forget { .. })), "{orders:?}");
+    // Its user is told to come back; it is not accepted once more.
+    rig.submit(sample("job-1", "red", 2, 1.0));
+    rig.fail_commit(StoreError::Conflict);
+    assert_eq!(rig.lookups.pop().map(|(_, otherwise)| otherwise.status), Some(503));
+    // Read at last, it goes on.
+    let mut readable = loaded_job(sample("job-1", "red", 2, 1.0));
+    readable.record.done.insert(0);
+    rig.leader.restore(rig.now, MS, Loaded { jobs: vec![readable], ..Loaded::default() });
+    rig.beat("vm-1", 4, EPOCH, vec![ended]);
+    rig.commit_all();
+    assert!(!rig.leader.unreadable.contains_job(&id("job-1")));
+}
+
+/// Which tasks are done is not known where a block of them does not decode: the job is left
+/// alone, since a done task may not start again.
+#[tokio::test]
+async fn a_job_with_an_unreadable_block_starts_nothing() {
+    let many = crate::storage::records::block_size(8.0) + 1;
+    let record = JobRecord::new(sample("job-1", "red", many, 1.0), MS);
+    let block = record.layout(8.0).block_key(&id("job-1"), 0);
+    let mut entries = live_job(&record);
+    entries.extend([(block, damaged()), fleet_record("vm-1")]);
+    let mut rig = leading(left_behind(entries).await);
+    rig.beat("vm-1", 1, EPOCH, vec![]);
     rig.commit_all();
-    assert_eq!(rig.standing("job-2"), Some(Standing::Cancelled), "a job before it is cancelled");
+    assert_eq!(starts(&rig.beat("vm-1", 2, EPOCH, vec![])), vec![]);
+    assert!(rig.leader.unreadable.contains_job(&id("job-1")));
+}
+
+/// The reconciler reads a damaged record again, and takes the job in once it decodes.
+#[tokio::test]
+async fn what_became_readable_is_taken_in() {
+    let stand_in = StandIn::start(&[]).await;
+    let store = store(stand_in.address(), 12);
+    let record = JobRecord::new(sample("job-1", "red", 1, 1.0), MS);
+    let (rental, _) = rented("vm-2", true);
+    let keys = vec![record_key(&id("job-1")), rental_key(&rental.request.name)];
+    stand_in.seed(&live_key(&id("job-1")), row(Standing::Queued), 4).await;
+    for key in &keys {
+        stand_in.seed(key, damaged(), 5).await;
+    }
+    let still = loading::read_again(&store, keys.clone(), 8.0).await.expect("served");
+    assert_eq!((still.jobs.len(), still.rentals.len(), still.unreadable.len()), (0, 0, 2));
+    let mut rig = leading(loading::load(&store, 8.0).await.expect("served"));
+    assert_eq!(rig.leader.unreadable_after("", 8).len(), 2);
+    stand_in.seed(&keys[0], record.encode(8.0), 6).await;
+    stand_in.seed(&keys[1], rental.encode(), 7).await;
+    let found = loading::read_again(&store, keys, 8.0).await.expect("served");
+    rig.leader.restore(rig.now, MS, found);
+    assert!(rig.leader.unreadable.is_empty());
+    assert_eq!(rig.standing("job-1"), Some(Standing::Queued));
+    assert!(rig.leader.machines.contains_key(&machine("vm-2")));
 }
--- /dev/null
+++ b/src/coordination/unreadable.rs
@@ -0,0 +1,73 @@
+//! What a leader could not read of the store.
+//!
+//! A record that is there and does not decode says nothing: neither that the job is over
+//! nor that a machine holds no tasks. Its key is kept, what depends on it is held back, and
+//! it is read again at a bounded pace.
+
+use std::collections::BTreeSet;
+
+use crate::protocol::jobs::JobId;
+use crate::storage::records::{RECORDS, RENTALS, record_key};
+
+/// Keys of records that are there and cannot be used.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Unreadable {
+    keys: BTreeSet<String>,
+}
+
+impl Unreadable {
+    /// A job's record, or a block of its done tasks, cannot be used.
+    pub fn note_job(&mut self, job: &JobId) {
+        self.keys.insert(record_key(job));
+    }
+
+    /// The fleet record of that key cannot be used.
+    pub fn note_rental(&mut self, key: &str) {
+        self.keys.insert(key.to_owned());
+    }
+
+    /// The record was read since, or is gone.
+    pub fn forget(&mut self, key: &str) {
+        self.keys.remove(key);
+    }
+
+    /// Takes over what another reading found.
+    pub fn extend(&mut self, other: Unreadable) {
+        self.keys.extend(other.keys);
+    }
+
+    pub fn len(&self) -> usize {
+        self.keys.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.keys.is_empty()
+    }
+
+    /// Whether a job is among them: nothing is known of what became of it.
+    pub fn contains_job(&self, job: &JobId) -> bool {
+        // Mostly nothing is, and then no key need be made for each look.
+        !self.keys.is_empty() && self.keys.contains(&record_key(job))
+    }
+
+    /// Whether machines may be rented that no readable record names.
+    pub fn hides_machines(&self) -> bool {
+        self.keys.iter().any(|key| key.starts_with(RENTALS))
+    }
+
+    /// The next keys after the given one, to be read again; from the first where none
+    /// follows.
+    pub fn next_keys(&self, after: &str, most: usize) -> Vec<String> {
+        let following = self.keys.iter().filter(|key| key.as_str() > after);
+        let found: Vec<String> = following.take(most).cloned().collect();
+        if found.is_empty() { self.keys.iter().take(most).cloned().collect() } else { found }
+    }
+
+    /// The job whose record has this key.
+    pub fn job_of(key: &str) -> Option<JobId> {
+        key.strip_prefix(RECORDS).and_then(JobId::parse)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/coordination/unreadable/tests.rs
@@ -0,0 +1,26 @@
+use super::*;
+
+#[test]
+fn what_cannot_be_read_is_read_again_in_turn() {
+    let mut unreadable = Unreadable::default();
+    assert!(unreadable.next_keys("", 2).is_empty() && !unreadable.hides_machines());
+    for job in ["job-1", "job-2", "job-3"] {
+        unreadable.note_job(&JobId::parse(job).expect("valid"));
+    }
+    unreadable.note_rental("hire/1-7");
+    assert!(unreadable.hides_machines());
+    let mut after = String::new();
+    let mut seen = BTreeSet::new();
+    for _ in 0..2 {
+        let keys = unreadable.next_keys(&after, 2);
+        assert_eq!(keys.len(), 2);
+        after = keys.last().expect("two").clone();
+        seen.extend(keys);
+    }
+    assert_eq!(seen.len(), 4, "each has had its turn: {seen:?}");
+    assert_eq!(unreadable.next_keys(&after, 1), ["hire/1-7"], "and it begins anew");
+    unreadable.forget("hire/1-7");
+    let job = Unreadable::job_of("rec/job-2").expect("a job's record");
+    assert!(unreadable.contains_job(&job) && !unreadable.hides_machines());
+    assert_eq!(Unreadable::job_of("hire/1-7"), None);
+}
