Decide the right to act in one place, and look at it again where answers leave

Cause (class: a right that had lapsed): answers to workers were decided under the lease and left whenever the process came to send them. Now each carries the time until which it may leave, the end of the lease if it starts or reaps anything and the end of the lapse window otherwise; the last step, also on the controller that handed the report on, turns a later one into 503.

`authority` decides on starts (with their evidence), rentals, returns and answers to workers, and returns values that only it can make. Invariants are looked at where they could be broken: a start without its evidence, a job that would leave memory with tasks on machines, a record that begins before its needs, an epoch used twice. A violation refuses the act, is logged and counted (`invariantsViolated`, `epochsReused` in `status`), and breaks a rule of the simulated clusters. A job whose row is moved while a machine shows a task of it stays in memory until that is gone.

Excluded: starts that come through after four seconds (workers drop those), writes (the state service compares the epoch itself).

--- /dev/null
+++ b/src/coordination/authority.rs
@@ -0,0 +1,149 @@
+//! The right to act in an epoch's name.
+//!
+//! One place decides it, from the leadership at that moment and the evidence for the act.
+//! What it returns only it can make: a start order comes from a [`StartPermit`], a request
+//! to the cloud that changes anything takes a [`LeadPermit`], and an answer to a worker
+//! carries the [`Basis`] until which it may leave, which is looked at once more at the last
+//! step ([`super::answers::Answer::at_sending`]). A path without the check does not compile.
+//!
+//! Writes of the store take no permit: each carries the epoch as a condition, which the
+//! state service itself compares.
+
+use thiserror::Error;
+use tokio::time::Instant;
+
+use super::answers::Basis;
+use crate::protocol::jobs::TaskId;
+use crate::protocol::workers::Order;
+
+/// How a controller stands to its epoch.
+#[derive(Debug, Clone, Copy)]
+pub struct Tenure {
+    pub epoch: u64,
+    /// The end of the lease, by the local clock and from the sending of the renewal.
+    pub lease_until: Instant,
+    /// Until when workers may be answered with nothing but stops of what is over.
+    pub lapse_until: Instant,
+    /// Another leads, or will.
+    pub is_over: bool,
+}
+
+/// What a start rests on.
+#[derive(Debug, Clone, Copy)]
+pub struct StartEvidence {
+    /// Neither cancelled nor settled, and no cancellation is under way.
+    pub job_is_live: bool,
+    /// It awaits nothing, or all that it awaits is known to be done by commits.
+    pub needs_are_done: bool,
+    /// The committed record says that this task may have begun.
+    pub begun_is_recorded: bool,
+    /// The task is done by its record.
+    pub task_is_done: bool,
+    /// The task is counted on no machine, and on none that was not heard.
+    pub is_on_no_machine: bool,
+    /// The committed fleet record says that the machine may hold tasks.
+    pub machine_is_recorded: bool,
+    /// The last attempt number that was given out in this epoch.
+    pub last_attempt: u64,
+}
+
+/// Why an act is not allowed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum Refusal {
+    #[error("the epoch is over")]
+    EpochOver,
+    #[error("the lease has ended")]
+    LeaseOver,
+    #[error("the job is over, or being cancelled")]
+    JobNotLive,
+    #[error("a job that it awaits is not known to be done")]
+    NeedsNotDone,
+    #[error("the record does not say that it may have begun")]
+    BeginNotRecorded,
+    #[error("the task is done")]
+    TaskDone,
+    #[error("the task may be on a machine")]
+    MayBeRunning,
+    #[error("the fleet record does not say that the machine may hold tasks")]
+    MachineNotRecorded,
+    #[error("the attempt number was used before")]
+    AttemptReused,
+}
+
+/// The right to start one task once.
+#[derive(Debug)]
+pub struct StartPermit {
+    task: TaskId,
+    attempt: u64,
+}
+
+/// The right to have something done that only a leader under a valid lease may decide.
+#[derive(Debug, Clone, Copy)]
+pub struct LeadPermit(());
+
+impl Tenure {
+    /// Whether anything may be decided in the epoch's name now.
+    pub fn lead(&self, now: Instant) -> Result<LeadPermit, Refusal> {
+        match self {
+            Tenure { is_over: true, .. } => Err(Refusal::EpochOver),
+            _ if now >= self.lease_until => Err(Refusal::LeaseOver),
+            _ => Ok(LeadPermit(())),
+        }
+    }
+
+    /// Whether a task may start as this attempt.
+    pub fn start(
+        &self,
+        now: Instant,
+        task: TaskId,
+        attempt: u64,
+        evidence: StartEvidence,
+    ) -> Result<StartPermit, Refusal> {
+        self.lead(now)?;
+        let demands = [
+            (evidence.job_is_live, Refusal::JobNotLive),
+            (evidence.needs_are_done, Refusal::NeedsNotDone),
+            (evidence.begun_is_recorded, Refusal::BeginNotRecorded),
+            (!evidence.task_is_done, Refusal::TaskDone),
+            (evidence.is_on_no_machine, Refusal::MayBeRunning),
+            (evidence.machine_is_recorded, Refusal::MachineNotRecorded),
+            (attempt > evidence.last_attempt, Refusal::AttemptReused),
+        ];
+        match demands.into_iter().find(|(met, _)| !met) {
+            Some((_, refusal)) => Err(refusal),
+            None => Ok(StartPermit { task, attempt }),
+        }
+    }
+
+    /// Until when an answer to a worker may leave. One that decides something holds as long
+    /// as the lease; one that only stops what is over, and keeps the worker's lease, as long
+    /// as a lapsed leader may give such answers.
+    pub fn worker_answer(&self, orders: &[Order]) -> Basis {
+        let decides = orders.iter().any(|order| !matches!(order, Order::Stop { .. }));
+        let until = if decides { self.lease_until } else { self.lapse_until };
+        Basis { epoch: self.epoch, until }
+    }
+}
+
+impl StartPermit {
+    /// The order, for the answer to the report of the machine that was asked about.
+    pub fn order(self) -> Order {
+        Order::Start { task: self.task, attempt: self.attempt }
+    }
+}
+
+/// What must hold whatever the controllers decide; looked at where it could be broken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum Violation {
+    #[error("a start was refused that had been decided: {0}")]
+    Start(Refusal),
+    #[error("a job with tasks on machines would have left memory")]
+    JobLeavesWithTasks,
+    #[error("a record says that a job has begun whose needs are not done")]
+    BegunBeforeNeeds,
+    #[error("a leader would have begun anew in an epoch that it had before")]
+    EpochReused,
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/coordination/figures.rs
+++ b/src/coordination/figures.rs
@@ -37,6 +37,7 @@
             .set("submissionsRefused", self.refused)
             .set("recordsUnreadable", self.unreadable.len() as u64)
             .set("tasksOfUnknownJobs", self.unknown_tasks)
+            .set("invariantsViolated", self.violations)
     }
 
     /// For the log.
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 use super::cloud::{CloudCall, CloudError, CloudReply, CloudResult};
-use super::leader::{Leader, Ticket};
+use super::leader::{CloudQuery, Leader, Ticket};
 use super::machine_list::ListRound;
 use super::model::{Machine, Phase, Rental, Resources};
 use crate::maps::HashSet;
@@ -26,7 +26,7 @@
 
 impl Leader {
     pub(super) fn request_catalog(&mut self) {
-        self.call_cloud(Ticket::Catalog, CloudCall::Catalog);
+        self.read_cloud(CloudQuery::Catalog);
     }
 
     pub(super) fn cloud_answered(&mut self, now: Instant, ticket: Ticket, result: CloudResult) {
@@ -279,7 +279,9 @@
         self.check_recovered();
     }
 
-    pub(super) fn delete(&mut self, machines: Vec<MachineId>) {
+    /// Has machines deleted, unless this leader may not decide that any more.
+    pub(super) fn delete(&mut self, now: Instant, machines: Vec<MachineId>) {
+        let Ok(permit) = self.tenure().lead(now) else { return };
         for chunk in machines.chunks(MAX_DELETE) {
             for id in chunk {
                 if let Some(m) = self.machines.get_mut(id) {
@@ -287,7 +289,7 @@
                     m.delete_asked = true;
                 }
             }
-            self.call_cloud(Ticket::Delete(chunk.to_vec()), CloudCall::Delete(chunk.to_vec()));
+            self.change_cloud(permit, Ticket::Delete(chunk.to_vec()), CloudCall::Delete(chunk.to_vec()));
         }
     }
 
@@ -309,7 +311,7 @@
         }
         if self.listing.is_none() && self.listed_at.is_none_or(|at| now > at + lag) {
             self.listing = Some(ListRound { started: now, seen: HashSet::default() });
-            self.call_cloud(Ticket::List, CloudCall::List { from: String::new() });
+            self.read_cloud(CloudQuery::List { from: String::new() });
         }
         let unresolved: Vec<String> = self
             .rentals
@@ -375,7 +377,7 @@
             }
         }
         if !back.is_empty() {
-            self.delete(back);
+            self.delete(now, back);
         }
     }
 }
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -15,6 +15,7 @@
 use tokio::time::Instant;
 
 use super::answers::{Answer, Basis};
+use super::authority::{LeadPermit, Tenure, Violation};
 use super::cloud::{CloudCall, CloudResult};
 use super::demand::{Demand, GroupKey};
 use super::dependencies::Dependencies;
@@ -96,6 +97,16 @@
     Note(&'static str),
 }
 
+/// What is asked of the cloud without changing anything.
+#[derive(Debug)]
+pub(super) enum CloudQuery {
+    Catalog,
+    /// A page of the machine list, after that name.
+    List {
+        from: String,
+    },
+}
+
 /// A key that leaders keep for the next, and the state of its writing.
 #[derive(Debug, Default)]
 pub(super) struct Note {
@@ -245,6 +256,8 @@
     pub(super) hidden_answered: Option<Instant>,
     /// Tasks reported under this epoch's token whose job is not in the picture.
     pub(super) unknown_tasks: u64,
+    /// Acts that were refused since they would have broken what must always hold.
+    pub(super) violations: u64,
     /// A machine that was not known when that was last looked at: while it is not, there
     /// is nothing to look for.
     unknown_machine: Option<MachineId>,
@@ -332,6 +345,7 @@
             hidden_answered: None,
             unreadable: loaded.unreadable,
             unknown_tasks: 0,
+            violations: 0,
             unknown_machine: None,
             refused: 0,
             prompt_classes: HashMap::default(),
@@ -380,9 +394,30 @@
         self.until = until;
     }
 
+    /// How this leader stands to its epoch.
+    pub(super) fn tenure(&self) -> Tenure {
+        Tenure {
+            epoch: self.epoch,
+            lease_until: self.until,
+            lapse_until: self.until + self.config.lapse_window(),
+            is_over: self.fenced,
+        }
+    }
+
     /// Whether anything may be done in the epoch's name now.
     pub fn valid(&self, now: Instant) -> bool {
-        now < self.until && !self.fenced
+        self.tenure().lead(now).is_ok()
+    }
+
+    /// Until when an answer to a worker with these orders may leave.
+    pub fn worker_answer(&self, orders: &[Order]) -> Basis {
+        self.tenure().worker_answer(orders)
+    }
+
+    /// Notes that an act was refused which would have broken what must always hold.
+    pub(super) fn violated(&mut self, violation: Violation, job: &JobId) {
+        self.violations += 1;
+        tracing::error!(epoch = self.epoch, %job, %violation, "an invariant would have been violated");
     }
 
     /// What answers decided now rest on.
@@ -444,7 +479,20 @@
         self.actions.push(Action::Commit { ticket, transaction });
     }
 
-    pub(super) fn call_cloud(&mut self, ticket: Ticket, call: CloudCall) {
+    /// Asks the cloud to rent or to delete machines.
+    pub(super) fn change_cloud(&mut self, _permit: LeadPermit, ticket: Ticket, call: CloudCall) {
+        self.call_cloud(ticket, call);
+    }
+
+    /// Asks the cloud for its machine types or its list, which changes nothing.
+    pub(super) fn read_cloud(&mut self, query: CloudQuery) {
+        match query {
+            CloudQuery::Catalog => self.call_cloud(Ticket::Catalog, CloudCall::Catalog),
+            CloudQuery::List { from } => self.call_cloud(Ticket::List, CloudCall::List { from }),
+        }
+    }
+
+    fn call_cloud(&mut self, ticket: Ticket, call: CloudCall) {
         let ticket = self.ticket(ticket);
         self.actions.push(Action::Cloud { ticket, call });
     }
--- a/src/coordination/machine_list.rs
+++ b/src/coordination/machine_list.rs
@@ -5,8 +5,7 @@
 
 use tokio::time::Instant;
 
-use super::cloud::CloudCall;
-use super::leader::{Leader, Ticket};
+use super::leader::{CloudQuery, Leader};
 use super::model::Phase;
 use crate::maps::HashSet;
 use crate::protocol::cloud::{ListPage, ListedState};
@@ -58,13 +57,13 @@
         }
         if !failed.is_empty() {
             tracing::info!(count = failed.len(), "machines have stopped on their own");
-            self.delete(failed);
+            self.delete(now, failed);
         }
         match page.machines.last() {
             Some(last) if page.more => {
                 let from = last.machine.as_str().to_owned();
                 self.listing = Some(round);
-                self.call_cloud(Ticket::List, CloudCall::List { from });
+                self.read_cloud(CloudQuery::List { from });
             }
             _ => {
                 self.listed_at = Some(now);
@@ -96,7 +95,7 @@
         }
         if !lost.is_empty() {
             tracing::info!(count = lost.len(), "machines are not listed any more");
-            self.delete(lost);
+            self.delete(now, lost);
         }
     }
 }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod agents;
 mod answers;
+mod authority;
 pub mod cloud;
 mod consolidation;
 mod demand;
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -153,6 +153,8 @@
     /// Its record was refused in every size, and is not written for a while.
     pub refused: bool,
     pub leaving: bool,
+    /// Its row is among those of finished jobs; it stays in memory for tasks shown since.
+    pub row_moved: bool,
     /// Users who wait for a cancellation.
     pub withdrawals: Vec<ReplyTo>,
     pub cancel_wanted: bool,
@@ -206,6 +208,7 @@
             too_large: false,
             refused: false,
             leaving: false,
+            row_moved: false,
             withdrawals: Vec::new(),
             cancel_wanted: false,
             cancelled_by_need: false,
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -14,6 +14,7 @@
 
 use super::agents::ReportReply;
 use super::answers::{self, Answer, Basis, ToldStates, UnusableReply};
+use super::authority::Violation;
 use super::cloud::{Cloud, CloudResult};
 use super::election::Role;
 use super::held_reports::{HeldReport, HeldReports};
@@ -149,6 +150,10 @@
     abandoned: watch::Sender<u64>,
     ready: watch::Sender<bool>,
     leader: Option<Leader>,
+    /// The last epoch in which a leader began here.
+    led_epoch: u64,
+    /// Leaders that would have begun a second time in an epoch.
+    violations: u64,
     held: HeldReports<oneshot::Sender<Answer>>,
     waiting: HashMap<ReplyTo, Waiting>,
     next_reply: u64,
@@ -217,6 +222,8 @@
             abandoned,
             ready,
             leader: None,
+            led_epoch: 0,
+            violations: 0,
             held,
             waiting: HashMap::default(),
             next_reply: 0,
@@ -331,7 +338,14 @@
                     return;
                 }
                 match loaded {
+                    Some(_) if epoch <= self.led_epoch => {
+                        // Attempt numbers would be used a second time.
+                        self.violations += 1;
+                        tracing::error!(epoch, violation = %Violation::EpochReused, "giving the epoch up");
+                        let _ = self.abandoned.send(epoch);
+                    }
                     Some(loaded) => {
+                        self.led_epoch = epoch;
                         tracing::info!(
                             epoch,
                             jobs = loaded.jobs.len(),
@@ -527,6 +541,7 @@
             Role::Leads { .. } => "leads".to_owned(),
         };
         let figures = MapBuilder::new().set("name", self.config.settings.name.as_str()).set("role", role);
+        let figures = figures.set("epochsReused", self.violations);
         let figures = match &self.leader {
             Some(leader) => leader.figures(figures),
             None => figures,
--- a/src/coordination/node/reports.rs
+++ b/src/coordination/node/reports.rs
@@ -1,6 +1,8 @@
 //! Workers' reports: to the leader's state machine, held for a prompt start, sent to
 //! another controller or handed on to it.
 
+use crate::protocol::workers::Order;
+
 use super::*;
 
 impl Node {
@@ -25,7 +27,7 @@
                 {
                     return self.hold(now, message);
                 }
-                Answer::new(200, &report_answer(token, &orders))
+                worker_answer(self.leader.as_ref(), token, &orders)
             }
             ReportReply::Elsewhere => return self.send_elsewhere(now, message),
         };
@@ -44,7 +46,8 @@
         let now = Instant::now();
         let Some(leader) = &mut self.leader else { return };
         for HeldReport { report, reply, .. } in self.held.expired(now) {
-            let _ = reply.send(held_answer(leader.answer_held(now, &report)));
+            let decided = leader.answer_held(now, &report);
+            let _ = reply.send(held_answer(leader, decided));
         }
     }
 
@@ -59,7 +62,7 @@
                 continue;
             }
             if let Some(held) = self.held.remove(&machine) {
-                let _ = held.reply.send(held_answer(decided));
+                let _ = held.reply.send(held_answer(leader, decided));
             }
         }
     }
@@ -98,14 +101,10 @@
         self.relaying += 1;
         let inner = self.inner.clone();
         tokio::spawn(async move {
+            let asked = Instant::now();
             let relayed = link.call(PeerCall::Report(body), false, POLL_PATIENCE).await;
             let silent = relayed.is_none().then_some(leader);
-            let answer = match relayed {
-                Some(PeerReply { status, body, .. }) => {
-                    Answer { status, body, retry_after_s: None, told: None, basis: None }
-                }
-                None => elsewhere(None),
-            };
+            let answer = relayed.map_or_else(|| elsewhere(None), |reply| relayed_answer(reply, asked));
             let _ = reply.send(answer);
             let _ = inner.send(Inner::Relayed { silent }).await;
         });
@@ -117,11 +116,25 @@
     Answer::new(421, &report_elsewhere(leader))
 }
 
+/// A leader's answer to a report, with the time until which it may leave.
+fn worker_answer(leader: Option<&Leader>, token: u64, orders: &[Order]) -> Answer {
+    let basis = leader.map(|leader| leader.worker_answer(orders));
+    Answer { basis, ..Answer::new(200, &report_answer(token, orders)) }
+}
+
+/// The leader's answer to a report that was handed on. It may leave for as long as the
+/// leader said, counted from when it was asked; a leader of a build before that did not say.
+fn relayed_answer(reply: PeerReply, asked: Instant) -> Answer {
+    let PeerReply { status, body, lease, .. } = reply;
+    let basis = lease.map(|lease| Basis { epoch: lease.epoch, until: asked + lease.left });
+    Answer { status, body, retry_after_s: None, told: None, basis }
+}
+
 /// The answer to a report that was held: a worker that is sent away tries the next
 /// controller by itself.
-fn held_answer(reply: ReportReply) -> Answer {
+fn held_answer(leader: &Leader, reply: ReportReply) -> Answer {
     match reply {
-        ReportReply::Orders { token, orders } => Answer::new(200, &report_answer(token, &orders)),
+        ReportReply::Orders { token, orders } => worker_answer(Some(leader), token, &orders),
         ReportReply::Elsewhere => elsewhere(None),
     }
 }
--- a/src/coordination/node/tests.rs
+++ b/src/coordination/node/tests.rs
@@ -514,3 +514,18 @@
         }
     }
 }
+
+/// A leader that begins anew in an epoch that it had before would use its attempt numbers a
+/// second time: the epoch is given up instead.
+#[tokio::test]
+async fn no_leader_begins_twice_in_an_epoch() {
+    let (mut node, _inputs, _handle) = rig().await;
+    let mut given_up = node.abandoned.subscribe();
+    node.role = Role::Leads { epoch: 40, until: Instant::now() + Duration::from_secs(9) };
+    for begun in [true, false] {
+        node.leader = None;
+        node.take_inner(Inner::Loaded { epoch: 40, loaded: Some(Loaded::default()) });
+        assert_eq!(node.leader.is_some(), begun);
+    }
+    assert_eq!((node.violations, *given_up.borrow_and_update()), (1, 40));
+}
--- a/src/coordination/pipelines.rs
+++ b/src/coordination/pipelines.rs
@@ -10,6 +10,7 @@
 
 use tokio::time::Instant;
 
+use super::authority::Violation;
 use super::dependencies::{Entry, Fate, Urgency};
 use super::leader::Leader;
 use super::model::Job;
@@ -168,13 +169,18 @@
     /// in the picture are waited for: they cannot be judged.
     pub(super) fn join_loaded_needs(&mut self, now: Instant, now_ms: u64, job: &JobId, read: &NeedStates) {
         let Some(j) = self.jobs.get(job) else { return };
-        let (spec, submitted) = (j.spec().clone(), j.submitted);
+        let (spec, submitted, begun, released_ms) =
+            (j.spec().clone(), j.submitted, j.begun, j.record.released_ms);
         if spec.awaits.is_empty() || j.record.final_standing().is_some() {
             return;
         }
-        // Only a released job may have begun.
-        let has_begun = j.begun > 0;
-        let (mut awaited, mut fate, mut released_ms) = (BTreeSet::new(), Fate::Open, j.record.released_ms);
+        // Only a released job may have begun. What is in the picture must agree.
+        let is_unmet = |need: &JobId| self.jobs.get(need).is_some_and(|need| !need.record.settled);
+        let has_begun = begun > 0 && !spec.awaits.iter().any(is_unmet);
+        if begun > 0 && !has_begun {
+            self.violated(Violation::BegunBeforeNeeds, job);
+        }
+        let (mut awaited, mut fate, mut released_ms) = (BTreeSet::new(), Fate::Open, released_ms);
         for need in spec.awaits.iter().filter(|_| !has_begun) {
             let known = self.jobs.get(need).map(|job| NeedState::of(Some(&job.record)));
             match known.or_else(|| read.get(need).copied()) {
--- a/src/coordination/record_writing.rs
+++ b/src/coordination/record_writing.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 
 use super::answers::Answer;
+use super::authority::Violation;
 use super::leader::{Action, Leader, Ticket};
 use super::model::{Conversion, Job, WritePart, Written};
 use crate::protocol::jobs::{JobId, Standing};
@@ -342,7 +343,13 @@
     /// knows what its tasks take.
     pub(super) fn try_move(&mut self, job: &JobId) {
         let Some(j) = self.jobs.get_mut(job) else { return };
-        if j.record.final_standing().is_none() || j.slots > 0 || j.leaving || j.writing.is_some() {
+        if j.record.final_standing().is_none() || j.slots > 0 || j.writing.is_some() {
+            return;
+        }
+        if j.row_moved {
+            return self.leave(job);
+        }
+        if j.leaving {
             return;
         }
         // While some machine has not been heard, a task may still be there.
@@ -392,11 +399,23 @@
                 tracing::error!(%job, ?error, "a row differs from what was read; `audit` tells more")
             }
         }
-        self.reserved.remove(&job);
-        self.dependencies.remove(&job);
-        if let Some(j) = self.jobs.remove(&job) {
-            self.actions.push(Action::Over(j.status()));
+        match self.jobs.get_mut(&job).filter(|j| j.slots > 0) {
+            // A machine has shown a task of it since. Out of memory, nobody would stop it.
+            Some(j) => {
+                j.row_moved = true;
+                self.violated(Violation::JobLeavesWithTasks, &job);
+            }
+            None => self.leave(&job),
         }
         self.move_rows();
     }
+
+    /// A job that is over, with nothing on any machine, leaves memory.
+    fn leave(&mut self, job: &JobId) {
+        self.reserved.remove(job);
+        self.dependencies.remove(job);
+        if let Some(j) = self.jobs.remove(job) {
+            self.actions.push(Action::Over(j.status()));
+        }
+    }
 }
--- a/src/coordination/renting.rs
+++ b/src/coordination/renting.rs
@@ -342,6 +342,7 @@
     }
 
     pub(super) fn ask_rental(&mut self, now: Instant, name: &str) {
+        let Ok(permit) = self.tenure().lead(now) else { return };
         let Some(rental) = self.rentals.get_mut(name) else { return };
         if rental.asking || rental.version == 0 {
             return;
@@ -349,7 +350,7 @@
         rental.asking = true;
         rental.asked_at = now;
         let request = rental.record.request.clone();
-        self.call_cloud(Ticket::AskRental(name.to_owned()), CloudCall::Rent(request));
+        self.change_cloud(permit, Ticket::AskRental(name.to_owned()), CloudCall::Rent(request));
     }
 
     pub(super) fn rental_answered(&mut self, now: Instant, name: &str, result: CloudResult) {
--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -9,8 +9,9 @@
 
 use tokio::time::Instant;
 
+use super::authority::{StartEvidence, Violation};
 use super::leader::Leader;
-use super::model::{Job, Machine, Resources, SlotState};
+use super::model::{Job, Machine, Resources, SlotKey, SlotState};
 use crate::protocol::jobs::{JobId, JobSpec, Priority, TaskId};
 use crate::protocol::workers::{MachineId, Order};
 
@@ -151,17 +152,8 @@
                 let Some(job) = self.jobs.get_mut(&ranked.job) else { break };
                 let least = if recovered { 0 } else { job.unproven };
                 let Some(index) = job.next_pending(least) else { break };
-                let Some(counter) = self.next_attempt.checked_add(1) else {
-                    tracing::error!("attempt numbers of this epoch are used up");
-                    break;
-                };
-                self.next_attempt = counter;
-                // Epochs differ, and counters within one: never used twice.
-                let attempt = self.epoch << 32 | u64::from(counter);
-                let key = (ranked.job.clone(), index);
-                tracing::debug!(%machine, job = %ranked.job, task = index, "start");
-                self.add_slot(now, machine, key, attempt, SlotState::Sent { seq }, true);
-                orders.push(Order::Start { task: TaskId { job: ranked.job.clone(), index }, attempt });
+                let Some(order) = self.start(now, machine, seq, (ranked.job.clone(), index)) else { break };
+                orders.push(order);
                 started += 1;
                 self.reserved.remove(&ranked.job);
                 if ranked.starved {
@@ -178,6 +170,60 @@
         self.queue = queue;
     }
 
+    /// Counts a task on the machine and returns its start order, if there is a right to it.
+    fn start(&mut self, now: Instant, machine: &MachineId, seq: u64, key: SlotKey) -> Option<Order> {
+        let Some(counter) = self.next_attempt.checked_add(1) else {
+            tracing::error!("attempt numbers of this epoch are used up");
+            return None;
+        };
+        // Epochs differ, and counters within one: never used twice.
+        let attempt = self.attempt(counter);
+        let evidence = self.start_evidence(machine, &key)?;
+        let task = TaskId { job: key.0.clone(), index: key.1 };
+        let permit = match self.tenure().start(now, task, attempt, evidence) {
+            Ok(permit) => permit,
+            Err(refusal) => {
+                self.violated(Violation::Start(refusal), &key.0);
+                return None;
+            }
+        };
+        self.next_attempt = counter;
+        tracing::debug!(
+            epoch = self.epoch,
+            lease_left_ms = self.until.saturating_duration_since(now).as_millis() as u64,
+            %machine,
+            job = %key.0,
+            task = key.1,
+            attempt,
+            "start"
+        );
+        self.add_slot(now, machine, key, attempt, SlotState::Sent { seq }, true);
+        Some(permit.order())
+    }
+
+    fn attempt(&self, counter: u32) -> u64 {
+        self.epoch << 32 | u64::from(counter)
+    }
+
+    /// What is known for and against starting a task on a machine.
+    fn start_evidence(&self, machine: &MachineId, key: &SlotKey) -> Option<StartEvidence> {
+        let (job_id, task) = (&key.0, key.1);
+        let job = self.jobs.get(job_id)?;
+        let machine = self.machines.get(machine)?;
+        let awaits_others = !job.spec().awaits.is_empty();
+        let may_be_on_unheard = !self.recovered && task < job.unproven;
+        let is_counted = job.active.contains_key(&task) || machine.slots.contains_key(key);
+        Some(StartEvidence {
+            job_is_live: job.is_live(),
+            needs_are_done: !job.is_waiting() && (!awaits_others || self.dependencies.is_released(job_id)),
+            begun_is_recorded: task < job.begun,
+            task_is_done: job.record.done.contains(task),
+            is_on_no_machine: !is_counted && !may_be_on_unheard,
+            machine_is_recorded: machine.used,
+            last_attempt: self.attempt(self.next_attempt),
+        })
+    }
+
     /// Whether the job's next task may and should start on this machine.
     fn may_start(&mut self, now: Instant, ranked: &Ranked, machine: &MachineId) -> bool {
         let recovered = self.recovered;
--- a/src/coordination/stopping.rs
+++ b/src/coordination/stopping.rs
@@ -79,7 +79,7 @@
         }
         if !lost.is_empty() {
             tracing::info!(count = lost.len(), "silent machines may hold cancelled tasks; deleting them");
-            self.delete(lost);
+            self.delete(now, lost);
         }
     }
 
--- a/src/coordination/tests/mod.rs
+++ b/src/coordination/tests/mod.rs
@@ -3,6 +3,7 @@
 
 mod cancellation;
 mod fleet_size;
+mod invariants;
 mod lease;
 mod monotonic_answers;
 mod overlapping_faults;
--- a/src/coordination/tests/sequences.rs
+++ b/src/coordination/tests/sequences.rs
@@ -319,3 +319,19 @@
         simulation.check_end();
     });
 }
+
+#[test]
+fn a_violated_invariant_is_caught() {
+    let figures = |figure: &str| {
+        let body = encode(&MapBuilder::new().set(figure, 1).build());
+        Response { status: 200, body, retry_after_s: None, close: false }
+    };
+    caught("violated", |simulation| simulation.check_figures(0, &figures("invariantsViolated")));
+    caught("violated", |simulation| simulation.check_figures(0, &figures("epochsReused")));
+    let broken = in_simulated_time(async {
+        let mut simulation = Simulation::new(1, 3, Vec::new(), 0.0);
+        simulation.check_figures(0, &figures("machines"));
+        simulation.broken
+    });
+    assert!(broken.is_empty(), "{broken:?}");
+}
--- a/src/coordination/tests/simulation/mod.rs
+++ b/src/coordination/tests/simulation/mod.rs
@@ -51,6 +51,7 @@
 const STEP: Duration = Duration::from_millis(100);
 /// Later than any simulation lasts.
 const LONG_AFTER: Duration = Duration::from_secs(24 * 3600);
+const FIGURES_EVERY: Duration = Duration::from_secs(2);
 const LAG: Duration = Duration::from_secs(4);
 
 fn seconds(s: f64) -> Duration {
@@ -163,8 +164,24 @@
 }
 
 enum Event {
-    Reported { machine: String, session: u64, sent: Instant, answer: Option<Response> },
-    Answered { job: String, question: Question, origin: Origin, answer: Option<Response>, look: bool },
+    Reported {
+        machine: String,
+        session: u64,
+        sent: Instant,
+        answer: Option<Response>,
+    },
+    Answered {
+        job: String,
+        question: Question,
+        origin: Origin,
+        answer: Option<Response>,
+        look: bool,
+    },
+    /// A controller's own figures.
+    Figures {
+        controller: usize,
+        answer: Response,
+    },
     Nothing,
 }
 
@@ -283,6 +300,8 @@
     next_arrival: Instant,
     arrivals_until: Instant,
     odd_from: Instant,
+    /// When the controllers are next asked for their figures.
+    figures_from: Instant,
     zone_cut_until: Instant,
     faults: Vec<(f64, Fault)>,
     pub calm_at: Instant,
@@ -395,6 +414,7 @@
             next_arrival: begin + seconds(3.0),
             arrivals_until: begin + seconds(calm),
             odd_from: begin + seconds(20.0),
+            figures_from: begin + FIGURES_EVERY,
             zone_cut_until: begin,
             faults,
             calm_at: begin + seconds(calm),
@@ -447,6 +467,7 @@
             Event::Answered { job, question, origin, answer, look } => {
                 self.answered(&job, question, origin, answer, look);
             }
+            Event::Figures { controller, answer } => self.check_figures(controller, &answer),
             Event::Nothing => {}
         }
     }
@@ -481,6 +502,10 @@
         self.look_around(now);
         self.check_cancelled(now);
         self.check_waiting(now);
+        if now >= self.figures_from {
+            self.figures_from = now + FIGURES_EVERY;
+            self.ask_figures();
+        }
     }
 }
 
--- a/src/coordination/tests/simulation/rules.rs
+++ b/src/coordination/tests/simulation/rules.rs
@@ -135,6 +135,32 @@
         }
     }
 
+    /// Asks each controller for its figures.
+    pub(super) fn ask_figures(&mut self) {
+        for (controller, c) in self.controllers.iter().enumerate() {
+            let Some(handle) = c.handle.clone() else { continue };
+            let stalls = c.stalls.clone();
+            self.events.spawn(async move {
+                let handled = stalls.run(Handler::handle(&handle, get("/status")));
+                match tokio::time::timeout(FIGURES_EVERY, handled).await {
+                    Ok(answer) => Event::Figures { controller, answer },
+                    Err(_) => Event::Nothing,
+                }
+            });
+        }
+    }
+
+    /// No controller has had to refuse an act that would have broken an invariant.
+    pub fn check_figures(&mut self, controller: usize, answer: &Response) {
+        let Ok(figures) = decode(&answer.body) else { return };
+        let Ok(fields) = Fields::of(&figures) else { return };
+        for figure in ["invariantsViolated", "epochsReused"] {
+            if fields.opt_count(figure).ok().flatten().is_some_and(|count| count > 0) {
+                self.breaks("violated", format!("{figure} of controller {controller}"));
+            }
+        }
+    }
+
     pub fn unfinished(&self) -> bool {
         self.jobs.values().any(|job| job.accepted.is_some() && job.told.is_none())
     }
