--- a/tests/soak/checker.rs
+++ b/tests/soak/checker.rs
@@ -137,6 +137,9 @@
             Event::CallsOff { job } => drop(self.states[*job].calls_off.get_or_insert(at)),
             Event::Odd { expected, status } => self.odd(at, *expected, *status),
             Event::StartTaken { task, .. } => self.start_taken(at, task),
+            Event::UnknownStart { machine } => {
+                self.breaks(Rule::Invented, at, format!("a start of an unknown job on {machine}"));
+            }
             Event::Began { task, zone, spot } => self.began(at, task, zone, *spot),
             Event::Completed { job, index } => drop(self.states[*job].completed.insert(*index)),
             Event::Left { task } => self.left(at, task),
--- a/tests/soak/checker_tests.rs
+++ b/tests/soak/checker_tests.rs
@@ -189,6 +189,7 @@
     let odd = |expected, status| [(2.0, Event::Odd { expected, status })];
     breaks(Rule::Invented, &chain(), &odd(404, 200));
     keeps(Rule::Invented, &chain(), &odd(404, 503));
+    breaks(Rule::Invented, &chain(), &[(2.0, Event::UnknownStart { machine: "a".into() })]);
     breaks(Rule::AcceptedOdd, &chain(), &odd(422, 201));
     breaks(Rule::AcceptedOdd, &chain(), &odd(400, 422));
     keeps(Rule::AcceptedOdd, &chain(), &odd(400, 400));
--- a/tests/soak/history.rs
+++ b/tests/soak/history.rs
@@ -64,6 +64,8 @@
     Odd { expected: u16, status: u16 },
     /// A worker carries out a start for the first time.
     StartTaken { task: TaskOn, attempt: u64 },
+    /// A worker is told to start a task of a job that nobody has submitted.
+    UnknownStart { machine: String },
     /// It has its image.
     Began { task: TaskOn, zone: &'static str, spot: bool },
     /// A task has completed.
--- a/tests/soak/workers.rs
+++ b/tests/soak/workers.rs
@@ -444,7 +444,10 @@
         if self.tasks.iter().any(|task| same(task) && task.attempt == attempt) {
             return;
         }
-        self.note(Event::StartTaken { task: self.task_on(job, index), attempt });
+        match job < self.surroundings.jobs.len() {
+            true => self.note(Event::StartTaken { task: self.task_on(job, index), attempt }),
+            false => self.note(Event::UnknownStart { machine: self.identity.name.clone() }),
+        }
         let is_there = |task: &&Task| !matches!(task.state, TaskState::Exited(_));
         let cpus = |job: usize| self.surroundings.jobs.get(job).map_or(0.0, |job| job.cpus);
         let used: f64 = self.tasks.iter().filter(is_there).map(|task| cpus(task.job)).sum();
