--- a/benches/hot_paths.rs
+++ b/benches/hot_paths.rs
@@ -9,8 +9,10 @@
 use std::time::{Duration, Instant as Clock};
 
 use shedtally::coordination::agents::ReportReply;
-use shedtally::coordination::leader::{Action, Config, Leader, Loaded};
+use shedtally::coordination::config::Config;
+use shedtally::coordination::leader::{Action, Leader};
 use shedtally::coordination::model::ReplyTo;
+use shedtally::coordination::takeover::Loaded;
 use shedtally::policy::Tuning;
 use shedtally::protocol::cloud::{MachineType, RentalRequest};
 use shedtally::protocol::jobs::{Form, JobId, JobSpec, Priority};
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -15,8 +15,8 @@
 use tracing_subscriber::util::SubscriberInitExt;
 
 use crate::coordination::cloud;
+use crate::coordination::config::Config;
 use crate::coordination::election::{self, Election, Role};
-use crate::coordination::leader::Config;
 use crate::coordination::node::Node;
 use crate::coordination::reconciler::{self, Finding};
 use crate::policy::Tuning;
@@ -197,6 +197,10 @@
         open += u32::from(!repaired);
         writeln!(out, "{job}: {what}{}", if repaired { "; repaired" } else { "" }).map_err(unwritable)?;
     }
+    for key in reconciler::unreadable_rentals(&store).await.map_err(unavailable)? {
+        open += 1;
+        writeln!(out, "{key}: an unreadable fleet record; left alone").map_err(unwritable)?;
+    }
     if epoch.is_some() {
         release(&store).await;
     }
--- a/src/cli/tests.rs
+++ b/src/cli/tests.rs
@@ -136,3 +136,16 @@
     }
     assert_eq!(exit(&["--version"]), format!("{:?}", ExitCode::SUCCESS));
 }
+
+/// Machines of a fleet record that cannot be read are waited for at each takeover: an
+/// operator is shown it.
+#[tokio::test]
+async fn audit_shows_unreadable_fleet_records() {
+    let world = damaged().await;
+    let key = crate::storage::records::rental_key("4-1");
+    world.seed(&key, ciborium::value::Value::Null, 50).await;
+    let (out, result) = audited(&world, true).await;
+    assert!(!succeeded(&result));
+    assert!(out.contains("hire/4-1: an unreadable fleet record; left alone\n"), "{out}");
+    assert!(out.ends_with("3 jobs, 1 inconsistent\n"), "{out}");
+}
--- a/src/coordination/agents.rs
+++ b/src/coordination/agents.rs
@@ -9,7 +9,8 @@
 use tokio::time::Instant;
 
 use super::leader::Leader;
-use super::model::{Phase, Resources, SlotKey, SlotState};
+use super::machines::Phase;
+use super::model::{SlotKey, SlotState};
 use crate::maps::HashSet;
 use crate::protocol::jobs::{JobId, TaskId};
 use crate::protocol::workers::{ExitCause, MachineId, Order, Report, TaskReport, TaskState};
@@ -256,7 +257,7 @@
     /// An outage of the state service lapses every lease of ours, and would
     /// take the workers' along if it lasted. Kept alive, they finish what they
     /// have. Nothing is decided here; and whoever leads next waits for silent
-    /// machines that much longer, see [`super::leader::Config::takeover_proof`].
+    /// machines that much longer, see [`super::config::Config::takeover_proof`].
     fn report_after_lease(&mut self, now: Instant, report: &Report) -> ReportReply {
         let until = self.until + self.config.lapse_window();
         if self.outlives_its_stops(now, report) {
@@ -491,31 +492,6 @@
         }
     }
 
-    /// Whether a machine that is not in the picture may be answered while a fleet record
-    /// cannot be read. Each answer may keep alive tasks that nobody counts, so they end
-    /// after a lease: by then a live machine has been entered.
-    fn may_answer_hidden(&mut self, now: Instant) -> bool {
-        let lease = self.config.settings.cluster.workers.lease();
-        let may = now < self.loaded_at + lease;
-        if may {
-            self.hidden_answered = Some(now);
-        }
-        may
-    }
-
-    /// Machines whose fleet record cannot be read, and that have not been heard, have lost
-    /// their leases by now.
-    pub(super) fn prove_hidden_machines(&mut self, now: Instant) {
-        let answered = self.hidden_answered.map(|at| at + self.config.lease_proof());
-        if !self.hidden_machines || now < self.unheard_proof() || answered.is_some_and(|proof| now < proof) {
-            return;
-        }
-        tracing::info!(epoch = self.epoch, "machines of unreadable fleet records have lost their leases");
-        self.hidden_machines = false;
-        self.queue_at = None;
-        self.check_recovered();
-    }
-
     /// Before the first start on a machine its record says so.
     fn mark_used(&mut self, machine: &MachineId) {
         let Some(m) = self.machines.get_mut(machine) else { return };
@@ -529,38 +505,4 @@
         }
         self.write_rental(&name);
     }
-
-    /// A machine that has not been answered for its whole lease, and a margin,
-    /// has killed all its tasks.
-    pub(super) fn prove_silent_machines(&mut self, now: Instant) {
-        let proof = self.config.lease_proof();
-        let unheard = self.unheard_proof();
-        let silent: Vec<MachineId> = self
-            .machines
-            .values()
-            .filter(|m| m.phase != Phase::Booting || !m.known)
-            .filter(|m| !m.known || !m.slots.is_empty())
-            // A machine that has shown our token drops the answers of an earlier
-            // leader. One that has not may never have got ours, and an earlier
-            // leader in its lapse window may have kept it alive since.
-            .filter(|m| {
-                now >= match m.answered.map(|at| at + proof) {
-                    Some(own) if m.seen.is_some() => own,
-                    Some(own) => own.max(unheard),
-                    None => unheard,
-                }
-            })
-            .map(|m| m.id.clone())
-            .collect();
-        for machine in silent {
-            tracing::info!(%machine, "silent for its whole lease; its tasks are gone");
-            self.clear_slots(now, &machine);
-            if let Some(m) = self.machines.get_mut(&machine) {
-                // A report that was held back may still list them.
-                m.least_session = m.seen.max(m.hinted).map_or(0, |(session, _)| session + 1);
-                m.free = self.catalog.get(m.kind).map(Resources::of_type).unwrap_or_default();
-            }
-            self.become_known(&machine);
-        }
-    }
 }
--- a/src/coordination/consolidation.rs
+++ b/src/coordination/consolidation.rs
@@ -9,7 +9,8 @@
 use tokio::time::Instant;
 
 use super::leader::Leader;
-use super::model::{Machine, Resources, SlotKey, SlotState};
+use super::machines::Machine;
+use super::model::{Resources, SlotKey, SlotState};
 use crate::maps::HashMap;
 use crate::protocol::workers::MachineId;
 
--- a/src/coordination/figures.rs
+++ b/src/coordination/figures.rs
@@ -1,7 +1,8 @@
 //! The leader's figures, for operators and for the log.
 
 use super::leader::Leader;
-use super::model::{Job, Phase};
+use super::machines::Phase;
+use super::model::Job;
 use crate::protocol::cbor::MapBuilder;
 
 impl Leader {
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -10,7 +10,8 @@
 use super::cloud::{CloudCall, CloudError, CloudReply, CloudResult};
 use super::leader::{CloudQuery, Leader, Ticket};
 use super::machine_list::ListRound;
-use super::model::{Machine, Phase, Rental, Resources};
+use super::machines::{Machine, Phase, Rental};
+use super::model::Resources;
 use crate::maps::HashSet;
 use crate::protocol::cbor::json_size;
 use crate::protocol::cloud::{MAX_DELETE, MAX_RENTAL, MachineType, RentalRequest, encode_catalog};
@@ -372,7 +373,7 @@
             } else if let Some(reason) = reason {
                 let lost = reason == "silent" || m.taken_at.is_some();
                 self.spot_losses += f64::from(u8::from(m.spot && lost && m.phase == Phase::Up));
-                tracing::info!(machine = %m.id, reason, "returning");
+                tracing::info!(epoch = self.epoch, machine = %m.id, reason, "returning");
                 back.push(m.id.clone());
             }
         }
--- a/src/coordination/held_reports.rs
+++ b/src/coordination/held_reports.rs
@@ -14,7 +14,7 @@
 
 use tokio::time::Instant;
 
-use super::leader::Config;
+use super::config::Config;
 use crate::maps::HashMap;
 use crate::protocol::workers::{ANSWER_WITHIN, MachineId, Report};
 
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -3,7 +3,9 @@
 //! [`Leader`] takes events and the time and leaves [`Action`]s to carry out.
 //! Its parts are in the modules beside this one, by subject: users (`intake`,
 //! `pipelines`), workers (`agents`, `stopping`, `slots`), placing (`scheduler`, `urgency`,
-//! `preemption`), machines (`fleet`, `renting`), records (`record_writing`).
+//! `preemption`), machines (`fleet`, `renting`), records (`record_writing`), what an
+//! earlier leader has left (`takeover`). What it may do at all is decided in
+//! [`super::authority`].
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -17,26 +19,26 @@
 use super::answers::{Answer, Basis};
 use super::authority::{LeadPermit, Tenure, Violation};
 use super::cloud::{CloudCall, CloudResult};
+use super::config::Config;
 use super::demand::{Demand, GroupKey};
 use super::dependencies::Dependencies;
 use super::machine_list::ListRound;
-use super::model::{Job, Machine, Rental, ReplyTo, Resources, Team};
+use super::machines::{Machine, Rental};
+use super::model::{Job, ReplyTo, Resources, Team};
 use super::pipelines::NeedStates;
 use super::renting::{Backoff, Offer};
 use super::scheduler::Ranked;
 use super::sizes::Sizes;
+use super::takeover::Loaded;
 use super::unreadable::Unreadable;
 use super::urgency::PromptNeed;
 use crate::maps::{HashMap, HashSet};
-use crate::policy::Tuning;
 use crate::protocol::cloud::MachineType;
 use crate::protocol::jobs::{JobId, JobSpec};
 use crate::protocol::state::{Change, Condition};
-use crate::protocol::workers::{ANSWER_WITHIN, MachineId, Order};
-use crate::settings::{Settings, StateLimits};
-use crate::storage::records::{
-    CATALOG, EXPERIENCE, Experience, JobRecord, RentalRecord, record_key, rental_key,
-};
+use crate::protocol::workers::{MachineId, Order};
+use crate::settings::StateLimits;
+use crate::storage::records::{CATALOG, EXPERIENCE, JobRecord, rental_key};
 use crate::storage::service::{Class, StoreError, Transaction};
 
 /// What is to be done outside.
@@ -120,67 +122,6 @@
     pub waiting: Vec<ReplyTo>,
 }
 
-/// What a new leader reads from the store.
-#[derive(Debug, Default)]
-pub struct Loaded {
-    pub jobs: Vec<LoadedJob>,
-    /// What was read of jobs that those await and that are not among them.
-    pub needs: NeedStates,
-    pub rentals: Vec<(RentalRecord, u64)>,
-    pub catalog: Option<(Vec<MachineType>, u64)>,
-    pub experience: Option<(Experience, u64)>,
-    /// What is there and cannot be read.
-    pub unreadable: Unreadable,
-    /// Keys that could not be read before, and are no more.
-    pub gone: Vec<String>,
-}
-
-#[derive(Debug)]
-pub struct LoadedJob {
-    pub record: JobRecord,
-    pub version: u64,
-    pub live_version: u64,
-    pub block_versions: Vec<u64>,
-}
-
-#[derive(Debug)]
-pub struct Config {
-    pub settings: Settings,
-    pub tuning: Tuning,
-}
-
-impl Config {
-    /// By then a worker whose last answered report arrived at the start of
-    /// this time has given up its lease and killed its tasks: its lease, the
-    /// drift of both clocks, and a margin for timer steps.
-    pub fn lease_proof(&self) -> Duration {
-        let workers = &self.settings.cluster.workers;
-        workers.lease().mul_f64(1.002) + workers.report() / 4
-    }
-
-    /// How long after a cancellation a worker may still be answered that goes on
-    /// with its tasks: the last answer must leave it time to lose its lease, by the
-    /// proof that leaders go by, before the cancellation must have ended everything;
-    /// less what an answer may take to arrive.
-    pub fn answers_after_cancelling(&self) -> Duration {
-        let cancellation = self.settings.cluster.workers.cancellation();
-        cancellation.saturating_sub(self.lease_proof() + ANSWER_WITHIN)
-    }
-
-    /// How long after its lease has lapsed a leader still answers reports,
-    /// without anything but stops. It may not know of cancellations that another
-    /// has confirmed since then.
-    pub fn lapse_window(&self) -> Duration {
-        self.answers_after_cancelling().min(self.settings.cluster.workers.lease() / 2)
-    }
-
-    /// The same proof for a machine that this leader has never answered: an
-    /// earlier one may have answered it until the end of its lapse window.
-    pub fn takeover_proof(&self) -> Duration {
-        self.lease_proof() + self.lapse_window()
-    }
-}
-
 pub struct Leader {
     pub(super) config: Arc<Config>,
     pub(super) epoch: u64,
@@ -189,7 +130,7 @@
     pub(super) since: Instant,
     pub(super) loaded_at: Instant,
     /// Since when no earlier leader can have answered a worker.
-    lapse_windows_over: Option<Instant>,
+    pub(super) lapse_windows_over: Option<Instant>,
     pub(super) jobs: HashMap<JobId, Job>,
     pub(super) dependencies: Dependencies,
     /// The state service's limits as far as is known.
@@ -260,7 +201,7 @@
     pub(super) violations: u64,
     /// A machine that was not known when that was last looked at: while it is not, there
     /// is nothing to look for.
-    unknown_machine: Option<MachineId>,
+    pub(super) unknown_machine: Option<MachineId>,
     pub(super) refused: u64,
     /// Classes of jobs that are to start within less than a report interval.
     pub(super) prompt_classes: HashMap<String, PromptNeed>,
@@ -343,7 +284,7 @@
             recovered: false,
             hidden_machines: loaded.unreadable.hides_machines(),
             hidden_answered: None,
-            unreadable: loaded.unreadable,
+            unreadable: Unreadable::default(),
             unknown_tasks: 0,
             violations: 0,
             unknown_machine: None,
@@ -356,6 +297,7 @@
             fenced: false,
             config,
         };
+        leader.unreadable.extend(loaded.unreadable);
         for (record, version) in loaded.rentals {
             let rental = Rental::new(record, version, now);
             leader.rentals.insert(rental.record.request.name.clone(), rental);
@@ -430,25 +372,6 @@
         self.fenced
     }
 
-    /// Whether it would help to know that no earlier leader is in its lapse window.
-    pub fn awaits_lapse_windows(&self) -> bool {
-        !self.recovered && self.lapse_windows_over.is_none()
-    }
-
-    /// Every other controller has said, by then and after this epoch began,
-    /// that it has no picture of any epoch and so answers no worker. What it
-    /// held before, a dead process' included, is over: a name is used by one
-    /// process at a time, and a picture is only had with a new epoch.
-    pub fn lapse_windows_are_over(&mut self, at: Instant) {
-        self.lapse_windows_over.get_or_insert(at);
-    }
-
-    /// When a machine that this epoch has never answered has lost its lease.
-    pub(super) fn unheard_proof(&self) -> Instant {
-        let lapse_window = self.loaded_at + self.config.takeover_proof();
-        self.lapse_windows_over.map_or(lapse_window, |at| lapse_window.min(at + self.config.lease_proof()))
-    }
-
     pub fn take_actions(&mut self) -> Vec<Action> {
         std::mem::take(&mut self.actions)
     }
@@ -618,111 +541,4 @@
         let ratio = self.class_ratio.entry(spec.class.clone()).or_insert(1.0);
         *ratio += (seen - *ratio) * 0.02;
     }
-
-    /// What is on the machine is known from now on.
-    pub(super) fn become_known(&mut self, machine: &MachineId) {
-        let Some(m) = self.machines.get_mut(machine).filter(|m| !m.known) else { return };
-        m.known = true;
-        let room = self.catalog.get(m.kind).map(Resources::of_type).unwrap_or_default();
-        // Counted anew with each ordering of the queue, and not below nothing.
-        if room.fits(&self.unheard) {
-            self.unheard.sub(&room);
-        }
-        self.check_recovered();
-    }
-
-    /// Whether all that may be on machines from before this epoch is known.
-    ///
-    /// Machines become known in about the order of the walk or in any other; it goes on
-    /// where it stopped, so that a takeover's reports do not each walk the whole fleet.
-    pub(super) fn has_recovered(&mut self) -> bool {
-        let is_unknown = |m: &&Machine| m.used && !m.known;
-        let from = self.unknown_machine.take();
-        let rest = from.and_then(|from| self.machines.range(from..).map(|(_, m)| m).find(is_unknown));
-        let found = rest.or_else(|| self.machines.values().find(is_unknown));
-        self.unknown_machine = found.map(|m| m.id.clone());
-        self.unknown_machine.is_none()
-    }
-
-    /// Notes when all that was on machines before is known; what waited for it goes on.
-    pub(super) fn check_recovered(&mut self) {
-        if self.recovered || self.hidden_machines || self.catalog.is_empty() || !self.has_recovered() {
-            return;
-        }
-        self.recovered = true;
-        tracing::info!(epoch = self.epoch, "every machine is accounted for");
-        let over: Vec<JobId> = self
-            .jobs
-            .values()
-            .filter(|j| j.record.final_standing().is_some())
-            .map(|j| j.id().clone())
-            .collect();
-        for job in over {
-            self.try_move(&job);
-        }
-    }
-
-    /// Takes in what was read after the takeover: jobs that the reconciler brought back
-    /// among the living, and what could not be read before.
-    pub fn restore(&mut self, now: Instant, now_ms: u64, restored: Loaded) {
-        for key in &restored.gone {
-            self.unreadable.forget(key);
-        }
-        for job in &restored.jobs {
-            self.unreadable.forget(&record_key(&job.record.spec.id));
-        }
-        self.unreadable.extend(restored.unreadable);
-        self.restore_rentals(now, restored.rentals);
-        let new = |job: &LoadedJob| !self.jobs.contains_key(&job.record.spec.id);
-        let jobs: Vec<LoadedJob> = restored.jobs.into_iter().filter(new).collect();
-        let ids: Vec<JobId> = jobs.iter().map(|job| job.record.spec.id.clone()).collect();
-        self.insert_all_loaded(now, now_ms, jobs, &restored.needs);
-        for id in ids {
-            if let Some(job) = self.jobs.get_mut(&id) {
-                job.not_before = Some(now + self.config.takeover_proof());
-            }
-        }
-    }
-
-    /// Enters fleet records that could not be read at the takeover. Whether their machines
-    /// hold tasks is known of each from its own reports from now on.
-    fn restore_rentals(&mut self, now: Instant, rentals: Vec<(RentalRecord, u64)>) {
-        for (record, version) in rentals {
-            let name = record.request.name.clone();
-            self.unreadable.forget(&rental_key(&name));
-            if !self.rentals.contains_key(&name) {
-                self.rentals.insert(name.clone(), Rental::new(record, version, now));
-                self.enter_rented(now, &name);
-            }
-        }
-    }
-
-    /// What cannot be read and is to be read again, after that key.
-    pub fn unreadable_after(&self, key: &str, most: usize) -> Vec<String> {
-        self.unreadable.next_keys(key, most)
-    }
-
-    /// Takes in jobs as they were read, all of them before what they wait for.
-    fn insert_all_loaded(&mut self, now: Instant, now_ms: u64, jobs: Vec<LoadedJob>, needs: &NeedStates) {
-        let ids: Vec<JobId> = jobs.iter().map(|job| job.record.spec.id.clone()).collect();
-        for job in jobs {
-            self.insert_loaded(now, now_ms, job);
-        }
-        for id in ids {
-            self.join_loaded_needs(now, now_ms, &id, needs);
-        }
-        self.cancel_loaded_dependents(now);
-    }
-
-    fn insert_loaded(&mut self, now: Instant, now_ms: u64, job: LoadedJob) {
-        let age = Duration::from_millis(now_ms.saturating_sub(job.record.submitted_ms));
-        let submitted = now.checked_sub(age).unwrap_or(now);
-        let mut entry = Job::new(job.record, job.version, job.live_version, submitted, 0);
-        entry.block_versions = job.block_versions;
-        entry.unproven = entry.begun;
-        entry.cancelled_at = entry.record.cancelled.then_some(now);
-        entry.team = self.team_index.get(&entry.spec().team).copied();
-        self.note_prompt_class(entry.spec());
-        self.jobs.insert(entry.id().clone(), entry);
-    }
 }
--- a/src/coordination/loading.rs
+++ b/src/coordination/loading.rs
@@ -4,9 +4,9 @@
 use ciborium::value::Value;
 use tokio::task::JoinSet;
 
-use super::leader::{Loaded, LoadedJob};
 use super::pipelines::{NeedState, NeedStates};
 use super::reconciler::{self, Finding};
+use super::takeover::{Loaded, LoadedJob};
 use super::unreadable::Unreadable;
 use crate::maps::HashSet;
 use crate::protocol::cloud::decode_catalog;
@@ -40,7 +40,7 @@
             if examined.finding == Finding::Stranded {
                 match load_job(store, job, live_version, value_kb).await? {
                     JobRead::Loaded(loaded) => restored.jobs.push(*loaded),
-                    JobRead::Unreadable => restored.unreadable.note_job(job),
+                    JobRead::Unreadable(reason) => restored.unreadable.note_job(job, reason),
                 }
             }
         }
@@ -64,7 +64,7 @@
             match store.get(Class::Rest, &live_key(&job)).await? {
                 Some(row) => match load_job(store, &job, row.version, value_kb).await? {
                     JobRead::Loaded(loaded) => found.jobs.push(*loaded),
-                    JobRead::Unreadable => found.unreadable.note_job(&job),
+                    JobRead::Unreadable(reason) => found.unreadable.note_job(&job, reason),
                 },
                 None => found.gone.push(key),
             }
@@ -78,10 +78,7 @@
 fn take_rental(loaded: &mut Loaded, key: &str, value: &Value, version: u64) {
     match RentalRecord::decode(value) {
         Ok(record) => loaded.rentals.push((record, version)),
-        Err(error) => {
-            tracing::error!(%key, %error, "unreadable fleet record: its machines may hold tasks");
-            loaded.unreadable.note_rental(key);
-        }
+        Err(error) => loaded.unreadable.note_rental(key, error.to_string()),
     }
 }
 
@@ -116,7 +113,7 @@
     while let Some(read) = reads.join_next().await {
         match read.map_err(|_| StoreError::Unavailable)?? {
             (_, JobRead::Loaded(loaded_job)) => loaded.jobs.push(*loaded_job),
-            (job, JobRead::Unreadable) => loaded.unreadable.note_job(&job),
+            (job, JobRead::Unreadable(reason)) => loaded.unreadable.note_job(&job, reason),
         }
     }
     loaded.needs = needs_of(store, &loaded.jobs).await?;
@@ -158,25 +155,22 @@
     Ok(states)
 }
 
-/// A job's record; `None` if it was never accepted. One that cannot be read is logged, and
-/// nothing follows from it.
+/// A job's record; `None` if it was never accepted. From one that cannot be read nothing
+/// follows; the leader logs it once.
 pub async fn read_record(store: &Store, class: Class, job: &JobId) -> Result<Option<JobRecord>, StoreError> {
     let Some(entry) = store.get(class, &record_key(job)).await? else { return Ok(None) };
-    decode_record(job, &entry.value).map(Some).ok_or(StoreError::Rejected)
+    decode_record(job, &entry.value).map(Some).map_err(|reason| {
+        tracing::debug!(%job, reason, "unreadable record");
+        StoreError::Rejected
+    })
 }
 
-/// A job's record; `None`, and a log line, if it cannot be used.
-fn decode_record(job: &JobId, value: &Value) -> Option<JobRecord> {
+/// A job's record, or why it cannot be used.
+fn decode_record(job: &JobId, value: &Value) -> Result<JobRecord, String> {
     match JobRecord::decode(value) {
-        Ok(record) if record.spec.id == *job => Some(record),
-        Ok(_) => {
-            tracing::error!(%job, "a record of another job");
-            None
-        }
-        Err(error) => {
-            tracing::error!(%job, %error, "unreadable record");
-            None
-        }
+        Ok(record) if record.spec.id == *job => Ok(record),
+        Ok(record) => Err(format!("a record of another job, {}", record.spec.id)),
+        Err(error) => Err(error.to_string()),
     }
 }
 
@@ -211,8 +205,8 @@
 /// What reading an unfinished job came to.
 enum JobRead {
     Loaded(Box<LoadedJob>),
-    /// Its record, or a block of its done tasks, cannot be used.
-    Unreadable,
+    /// Its record, or a block of its done tasks, cannot be used, for that reason.
+    Unreadable(String),
 }
 
 /// Reads one unfinished job.
@@ -223,12 +217,11 @@
     value_kb: f64,
 ) -> Result<JobRead, StoreError> {
     let Some(entry) = store.get(Class::Accept, &record_key(job)).await? else {
-        tracing::error!(%job, "a row without a record; left alone");
-        return Ok(JobRead::Unreadable);
+        return Ok(JobRead::Unreadable("a row without a record".into()));
     };
     let mut record = match decode_record(job, &entry.value) {
-        Some(record) => record,
-        None => return Ok(JobRead::Unreadable),
+        Ok(record) => record,
+        Err(reason) => return Ok(JobRead::Unreadable(reason)),
     };
     let mut block_versions = Vec::new();
     let layout = record.layout(value_kb);
@@ -237,8 +230,7 @@
         block_versions.push(found.as_ref().map_or(0, |b| b.version));
         if let Some(Err(error)) = found.map(|b| record.add_block(&b.value)) {
             // Which of its tasks are done is not known, and no done task may start again.
-            tracing::error!(%job, block, %error, "unreadable block of done tasks; the job is left alone");
-            return Ok(JobRead::Unreadable);
+            return Ok(JobRead::Unreadable(format!("block {block} of its done tasks: {error}")));
         }
     }
     Ok(JobRead::Loaded(Box::new(LoadedJob { record, version: entry.version, live_version, block_versions })))
--- a/src/coordination/machine_list.rs
+++ b/src/coordination/machine_list.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 use super::leader::{CloudQuery, Leader};
-use super::model::Phase;
+use super::machines::Phase;
 use crate::maps::HashSet;
 use crate::protocol::cloud::{ListPage, ListedState};
 use crate::protocol::workers::MachineId;
--- /dev/null
+++ b/src/coordination/machines.rs
@@ -0,0 +1,181 @@
+//! What the leader holds of machines and of the rentals that named them.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::leader::Action;
+use super::model::{Resources, Slot, SlotKey};
+use crate::maps::HashMap;
+use crate::protocol::cloud::MachineType;
+use crate::protocol::jobs::{JobId, JobSpec};
+use crate::protocol::workers::{MachineId, Order};
+use crate::storage::records::RentalRecord;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// Rented, nothing heard of it yet.
+    Booting,
+    Up,
+    /// Its deletion has been asked for.
+    Deleting,
+}
+
+/// Whether a machine seems to hear us. Its reports may arrive while answers and
+/// commands do not: an answer sent is no proof that it was received, only what
+/// later reports show of it is.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct AnswerTracker {
+    /// Answers in a row that should have shown an effect and did not.
+    missed: u32,
+    first: Option<Instant>,
+    last: Option<Instant>,
+}
+
+impl AnswerTracker {
+    /// So many, over at least two reports' time, and the machine is doubted:
+    /// one lost answer, or a burst of late copies, costs nothing.
+    const PATIENCE: u32 = 3;
+
+    pub fn miss(&mut self, now: Instant) {
+        self.missed = self.missed.saturating_add(1);
+        self.first.get_or_insert(now);
+        self.last = Some(now);
+    }
+
+    /// An effect was seen.
+    pub fn clear(&mut self) {
+        *self = AnswerTracker::default();
+    }
+
+    pub fn doubted(&self, now: Instant, report: Duration) -> bool {
+        self.missed >= Self::PATIENCE && self.first.is_some_and(|at| now >= at + report * 2)
+    }
+
+    /// Whether it is time to try a single start on a doubted machine.
+    pub fn may_probe(&self, now: Instant, pause: Duration) -> bool {
+        self.last.is_none_or(|at| now >= at + pause)
+    }
+}
+
+#[derive(Debug)]
+pub struct Machine {
+    pub id: MachineId,
+    pub kind: usize,
+    pub zone: String,
+    pub spot: bool,
+    /// The fleet record it stands in.
+    pub rental: String,
+    pub phase: Phase,
+    pub address: String,
+    pub rented: Instant,
+    pub up_at: Option<Instant>,
+    /// Newest report taken, under this epoch's token: (session, sequence).
+    pub seen: Option<(u64, u64)>,
+    /// Newest report under an earlier token, of which nothing was taken.
+    pub hinted: Option<(u64, u64)>,
+    pub answer_tracker: AnswerTracker,
+    /// It seems not to hear us: its room counts for nothing.
+    pub doubted: bool,
+    /// Reports of earlier sessions are void.
+    pub least_session: u64,
+    pub heard: Option<Instant>,
+    /// Arrival of the last report that got a 200.
+    pub answered: Option<Instant>,
+    /// What is on it is known: from a report under this epoch's token, or by
+    /// proof that nothing is.
+    pub known: bool,
+    /// The record says that starts may have been sent to it.
+    pub used: bool,
+    /// That mark is on its way to the record.
+    pub marking: bool,
+    /// A deletion is under way.
+    pub delete_asked: bool,
+    /// When stops were last sent straight to it.
+    pub stops_sent: Option<Instant>,
+    pub taken_at: Option<Instant>,
+    pub slots: HashMap<SlotKey, Slot>,
+    pub free: Resources,
+    /// Tasks are on it whose job is unknown; nothing is placed beside them.
+    pub foreign: bool,
+    /// Images believed to be cached, most recent first.
+    pub images: VecDeque<(String, f64)>,
+    /// Jobs whose tasks failed here since the last success, and how often.
+    pub failures: Vec<JobId>,
+    pub condemned: bool,
+    pub idle_since: Instant,
+    /// Times that a list young enough to show it did not.
+    pub unlisted: u32,
+    pub listed: bool,
+    /// Some demand counts on it; others are left to run empty.
+    pub wanted: bool,
+    /// Since when no demand has counted on it.
+    pub unwanted_since: Option<Instant>,
+    /// Its replicas are being moved elsewhere: nothing is placed on it.
+    pub draining: bool,
+}
+
+impl Machine {
+    /// Stops to be sent straight to it, if it is known where it is.
+    pub fn direct(&mut self, now: Instant, token: u64, orders: Vec<Order>) -> Option<Action> {
+        let (session, _) = self.seen?;
+        let address = self.address.parse().ok()?;
+        self.stops_sent = Some(now);
+        Some(Action::Direct { address, token, session, orders })
+    }
+
+    pub fn has_image(&self, image: &str) -> bool {
+        self.images.iter().any(|(name, _)| name == image)
+    }
+
+    /// A task of the job runs here, so its image is cached; the least recent images give
+    /// way to it where the type's cache is full.
+    pub fn note_image(&mut self, spec: &JobSpec, kind: Option<&MachineType>) {
+        let (image, size_gb) = (spec.image.as_str(), spec.image_gb);
+        let cache_gb = kind.map_or(0.0, |kind| kind.cache_gb);
+        if self.images.front().is_some_and(|(name, _)| name == image) {
+            return;
+        }
+        self.images.retain(|(name, _)| name != image);
+        self.images.push_front((image.to_owned(), size_gb));
+        let mut total: f64 = self.images.iter().map(|(_, gb)| gb).sum();
+        while total > cache_gb && self.images.len() > 1 {
+            total -= self.images.pop_back().map_or(0.0, |(_, gb)| gb);
+        }
+    }
+
+    /// Whether its room may be counted on.
+    pub fn has_open_room(&self) -> bool {
+        self.open() && !self.doubted
+    }
+
+    /// Whether tasks may be placed on it.
+    pub fn open(&self) -> bool {
+        self.phase == Phase::Up
+            && self.known
+            && self.used
+            && !self.condemned
+            && !self.foreign
+            && !self.draining
+            && self.taken_at.is_none()
+    }
+}
+
+/// A fleet record and the state of its writing.
+#[derive(Debug)]
+pub struct Rental {
+    pub record: RentalRecord,
+    pub version: u64,
+    pub writing: bool,
+    pub dirty: bool,
+    /// The cloud is being asked.
+    pub asking: bool,
+    pub asked_at: Instant,
+}
+
+impl Rental {
+    pub fn new(record: RentalRecord, version: u64, now: Instant) -> Self {
+        Rental { record, version, writing: false, dirty: false, asking: false, asked_at: now }
+    }
+}
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -2,7 +2,10 @@
 //! other controllers send, and feeds the leader's state machine while this
 //! controller leads.
 
+mod actions;
 mod handle;
+mod peer_questions;
+mod reading;
 mod reports;
 mod user_requests;
 
@@ -16,15 +19,17 @@
 use super::answers::{self, Answer, Basis, ToldStates, UnusableReply};
 use super::authority::Violation;
 use super::cloud::{Cloud, CloudResult};
+use super::config::Config;
 use super::election::Role;
 use super::held_reports::{HeldReport, HeldReports};
-use super::leader::{Action, Config, Leader, Loaded, UnjudgedSubmission};
+use super::leader::{Action, Leader, UnjudgedSubmission};
 use super::loading::{self, load, walk};
 use super::model::ReplyTo;
 use super::peers::{Detour, Detours, PeerState, Peers};
 use super::pipelines::NeedStates;
 use super::sizes::Sizes;
 use super::statistics::Statistics;
+use super::takeover::Loaded;
 use crate::maps::HashMap;
 use crate::protocol::cbor::{Fields, Malformed, MapBuilder, decode, encode};
 use crate::protocol::jobs::{JobId, JobSpec, JobStatus};
@@ -314,21 +319,6 @@
         }
     }
 
-    fn load(&self, epoch: u64) {
-        let (store, inner) = (self.store.clone(), self.inner.clone());
-        let value_kb = self.config.settings.cluster.state.value_kb;
-        let pause = self.config.tuning.lease / 20;
-        tokio::spawn(async move {
-            let loaded = load(&store, value_kb).await.ok();
-            if loaded.is_none() {
-                // An outage refuses at once; asking again without a pause
-                // would spend the allowance that renewals need.
-                tokio::time::sleep(pause).await;
-            }
-            let _ = inner.send(Inner::Loaded { epoch, loaded }).await;
-        });
-    }
-
     fn take_inner(&mut self, inner: Inner) {
         let now = Instant::now();
         match inner {
@@ -399,13 +389,6 @@
         }
     }
 
-    /// Hands what was read after the takeover to the leader that it was read for.
-    fn restore(&mut self, epoch: u64, restored: Loaded) {
-        if let Some(leader) = self.leader.as_mut().filter(|l| l.epoch() == epoch) {
-            leader.restore(Instant::now(), wall_ms(), restored);
-        }
-    }
-
     fn tick(&mut self) {
         let now = Instant::now();
         if let Some(leader) = &mut self.leader {
@@ -454,82 +437,6 @@
         self.reconcile(now);
     }
 
-    /// The state service does not say who leads: perhaps the others know.
-    fn ask_peers(&mut self, now: Instant) {
-        let patience = self.config.tuning.lease / 4;
-        for peer in self.peers.to_ask(now) {
-            let Some(link) = self.links.get(&peer).cloned() else { continue };
-            let inner = self.inner.clone();
-            tokio::spawn(async move {
-                let reply = link.call(PeerCall::Lead, false, patience).await;
-                let peer_state = reply.and_then(|r| {
-                    let body = decode(&r.body).ok()?;
-                    let f = Fields::of(&body).ok()?;
-                    match r.status {
-                        200 => f.count("epoch").ok().map(PeerState::Leads),
-                        _ if f.bool("free").ok()? => Some(PeerState::Free),
-                        _ => Some(PeerState::Lapsed),
-                    }
-                });
-                let _ = inner.send(Inner::PeerAnswered { peer, peer_state }).await;
-            });
-        }
-    }
-
-    fn peer_answered(&mut self, now: Instant, peer: &str, peer_state: Option<PeerState>) {
-        self.peers.answered(now, peer, peer_state);
-        if peer_state.is_some() && self.other_leader(now).is_some_and(|(leader, _)| leader == peer) {
-            self.unreached = None;
-        }
-        // Nobody else answers workers any more: the wait for silent machines
-        // need not cover a grace.
-        let listed = self.links.len() + 1 >= self.config.settings.cluster.size as usize;
-        if let Some(leader) = self.leader.as_mut().filter(|_| listed)
-            && let Some(at) = self.peers.all_free_since(leader.loaded_at)
-        {
-            leader.lapse_windows_are_over(at);
-        }
-        // A higher epoch means that the key was written anew: ours is over, and
-        // keeping workers here for the rest of the lapse window would only hold them
-        // back from their new leader.
-        let epoch = self.peers.leading(now).map_or(0, |(_, epoch)| epoch);
-        if self.leader.as_ref().is_some_and(|l| l.epoch() < epoch) {
-            self.drop_leader();
-        }
-    }
-
-    /// The leader, if it is another: as the state service says or, without it,
-    /// as the others say.
-    fn other_leader(&self, now: Instant) -> Option<(&str, u64)> {
-        match &self.role {
-            Role::Follows { leader, epoch } => Some((leader, *epoch)),
-            _ => self.peers.leading(now),
-        }
-    }
-
-    /// Compares one page of finished jobs' rows with their records. A row that
-    /// calls live work over would otherwise strand it: a takeover reads only
-    /// the rows of the living.
-    fn reconcile(&mut self, now: Instant) {
-        let Some(leader) = self.leader.as_ref().filter(|l| l.valid(now)) else { return };
-        if self.walking || now < self.walk_at + self.config.tuning.reconcile {
-            return;
-        }
-        (self.walking, self.walk_at) = (true, now);
-        let (store, inner, epoch) = (self.store.clone(), self.inner.clone(), leader.epoch());
-        let (from, value_kb) = (self.walk_from.clone(), self.config.settings.cluster.state.value_kb);
-        let unreadable = leader.unreadable_after(&self.read_again_from, loading::ROWS_A_ROUND);
-        self.read_again_from = unreadable.last().cloned().unwrap_or_default();
-        tokio::spawn(async move {
-            let (next, restored) =
-                walk(&store, epoch, &from, value_kb).await.unwrap_or((from, Loaded::default()));
-            let _ = inner.send(Inner::Reconciled { epoch, from: next, restored }).await;
-            if let Ok(restored) = loading::read_again(&store, unreadable, value_kb).await {
-                let _ = inner.send(Inner::ReadAgain { epoch, restored }).await;
-            }
-        });
-    }
-
     /// Figures for operators.
     fn status(&self) -> ciborium::value::Value {
         let role = match &self.role {
@@ -556,58 +463,6 @@
             .set("laterLimitsHold", limits == announced);
         self.statistics.figures(figures.set("stateService", state.build())).build()
     }
-
-    fn carry_out(&mut self) {
-        self.answer_held();
-        let Some(leader) = &mut self.leader else { return };
-        let epoch = leader.epoch();
-        for action in leader.take_actions() {
-            match action {
-                Action::Answer { to, answer } => self.answer_waiting(to, answer),
-                Action::LookUp { to, job, otherwise } => {
-                    if let Some(Waiting { reply, .. }) = self.waiting.remove(&to) {
-                        self.look_up(LookUp { reply, job, absent: otherwise, only_final: false });
-                    }
-                }
-                Action::ReadNeeds(submission) => self.read_needs(epoch, submission),
-                Action::Commit { ticket, transaction } => {
-                    let (store, inner) = (self.store.clone(), self.inner.clone());
-                    tokio::spawn(async move {
-                        let result = store.commit(transaction).await;
-                        let _ = inner.send(Inner::Committed { epoch, ticket, result }).await;
-                    });
-                }
-                Action::Cloud { ticket, call } => {
-                    let (cloud, inner) = (self.cloud.clone(), self.inner.clone());
-                    tokio::spawn(async move {
-                        let result = cloud.call(call).await;
-                        let _ = inner.send(Inner::CloudDone { epoch, ticket, result }).await;
-                    });
-                }
-                Action::Direct { address, token, session, orders } => {
-                    // Only a short cut: the same goes out with the next report.
-                    if self.directs >= self.sizes.directs {
-                        continue;
-                    }
-                    self.directs += 1;
-                    let inner = self.inner.clone();
-                    let body = encode(&direct_orders(token, session, &orders));
-                    let call = Call {
-                        method: "POST",
-                        target: "/commands".into(),
-                        body,
-                        deadline: Duration::from_secs(2),
-                    };
-                    let limits = Limits { head: HEAD_LIMIT, body: BODY_LIMIT };
-                    tokio::spawn(async move {
-                        let _ = Prepared::alone(address, limits, call).run().await;
-                        let _ = inner.send(Inner::DirectDone).await;
-                    });
-                }
-                Action::Over(status) => self.told.insert(status),
-            }
-        }
-    }
 }
 
 fn wall_ms() -> u64 {
--- /dev/null
+++ b/src/coordination/node/peer_questions.rs
@@ -0,0 +1,58 @@
+//! What the others say of who leads, asked where the state service does not tell.
+
+use super::*;
+
+impl Node {
+    /// The state service does not say who leads: perhaps the others know.
+    pub(super) fn ask_peers(&mut self, now: Instant) {
+        let patience = self.config.tuning.lease / 4;
+        for peer in self.peers.to_ask(now) {
+            let Some(link) = self.links.get(&peer).cloned() else { continue };
+            let inner = self.inner.clone();
+            tokio::spawn(async move {
+                let reply = link.call(PeerCall::Lead, false, patience).await;
+                let peer_state = reply.and_then(|r| {
+                    let body = decode(&r.body).ok()?;
+                    let f = Fields::of(&body).ok()?;
+                    match r.status {
+                        200 => f.count("epoch").ok().map(PeerState::Leads),
+                        _ if f.bool("free").ok()? => Some(PeerState::Free),
+                        _ => Some(PeerState::Lapsed),
+                    }
+                });
+                let _ = inner.send(Inner::PeerAnswered { peer, peer_state }).await;
+            });
+        }
+    }
+
+    pub(super) fn peer_answered(&mut self, now: Instant, peer: &str, peer_state: Option<PeerState>) {
+        self.peers.answered(now, peer, peer_state);
+        if peer_state.is_some() && self.other_leader(now).is_some_and(|(leader, _)| leader == peer) {
+            self.unreached = None;
+        }
+        // Nobody else answers workers any more: the wait for silent machines
+        // need not cover a grace.
+        let listed = self.links.len() + 1 >= self.config.settings.cluster.size as usize;
+        if let Some(leader) = self.leader.as_mut().filter(|_| listed)
+            && let Some(at) = self.peers.all_free_since(leader.loaded_at)
+        {
+            leader.lapse_windows_are_over(at);
+        }
+        // A higher epoch means that the key was written anew: ours is over, and
+        // keeping workers here for the rest of the lapse window would only hold them
+        // back from their new leader.
+        let epoch = self.peers.leading(now).map_or(0, |(_, epoch)| epoch);
+        if self.leader.as_ref().is_some_and(|l| l.epoch() < epoch) {
+            self.drop_leader();
+        }
+    }
+
+    /// The leader, if it is another: as the state service says or, without it,
+    /// as the others say.
+    pub(super) fn other_leader(&self, now: Instant) -> Option<(&str, u64)> {
+        match &self.role {
+            Role::Follows { leader, epoch } => Some((leader, *epoch)),
+            _ => self.peers.leading(now),
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/node/reading.rs
@@ -0,0 +1,51 @@
+//! Reading the records: all unfinished work at a takeover, and a few rows and what could not
+//! be read before from then on.
+
+use super::*;
+
+impl Node {
+    pub(super) fn load(&self, epoch: u64) {
+        let (store, inner) = (self.store.clone(), self.inner.clone());
+        let value_kb = self.config.settings.cluster.state.value_kb;
+        let pause = self.config.tuning.lease / 20;
+        tokio::spawn(async move {
+            let loaded = load(&store, value_kb).await.ok();
+            if loaded.is_none() {
+                // An outage refuses at once; asking again without a pause
+                // would spend the allowance that renewals need.
+                tokio::time::sleep(pause).await;
+            }
+            let _ = inner.send(Inner::Loaded { epoch, loaded }).await;
+        });
+    }
+
+    /// Compares one page of finished jobs' rows with their records. A row that
+    /// calls live work over would otherwise strand it: a takeover reads only
+    /// the rows of the living.
+    pub(super) fn reconcile(&mut self, now: Instant) {
+        let Some(leader) = self.leader.as_ref().filter(|l| l.valid(now)) else { return };
+        if self.walking || now < self.walk_at + self.config.tuning.reconcile {
+            return;
+        }
+        (self.walking, self.walk_at) = (true, now);
+        let (store, inner, epoch) = (self.store.clone(), self.inner.clone(), leader.epoch());
+        let (from, value_kb) = (self.walk_from.clone(), self.config.settings.cluster.state.value_kb);
+        let unreadable = leader.unreadable_after(&self.read_again_from, loading::ROWS_A_ROUND);
+        self.read_again_from = unreadable.last().cloned().unwrap_or_default();
+        tokio::spawn(async move {
+            let (next, restored) =
+                walk(&store, epoch, &from, value_kb).await.unwrap_or((from, Loaded::default()));
+            let _ = inner.send(Inner::Reconciled { epoch, from: next, restored }).await;
+            if let Ok(restored) = loading::read_again(&store, unreadable, value_kb).await {
+                let _ = inner.send(Inner::ReadAgain { epoch, restored }).await;
+            }
+        });
+    }
+
+    /// Hands what was read after the takeover to the leader that it was read for.
+    pub(super) fn restore(&mut self, epoch: u64, restored: Loaded) {
+        if let Some(leader) = self.leader.as_mut().filter(|l| l.epoch() == epoch) {
+            leader.restore(Instant::now(), wall_ms(), restored);
+        }
+    }
+}
--- a/src/coordination/node/tests.rs
+++ b/src/coordination/node/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::coordination::leader::LoadedJob;
+use crate::coordination::takeover::LoadedJob;
 use crate::coordination::tests::{catalog, loaded_job, rented};
 use crate::protocol::jobs::Standing;
 use crate::storage::records::{JobRecord, record_key};
--- a/src/coordination/reconciler.rs
+++ b/src/coordination/reconciler.rs
@@ -9,7 +9,7 @@
 use crate::protocol::jobs::{JobId, Standing};
 use crate::protocol::state::{Change, Condition};
 use crate::storage::records::{
-    JobRecord, LIVE, OVER, RECORDS, decode_row, live_key, over_key, record_key, row,
+    JobRecord, LIVE, OVER, RECORDS, RENTALS, RentalRecord, decode_row, live_key, over_key, record_key, row,
 };
 use crate::storage::service::{Class, Store, StoreError, Transaction};
 
@@ -163,6 +163,14 @@
     Ok((jobs, next))
 }
 
+/// The keys of fleet records that cannot be used: whether their machines hold tasks is not
+/// known, and a takeover waits for them.
+pub async fn unreadable_rentals(store: &Store) -> Result<Vec<String>, StoreError> {
+    let entries = store.scan(RENTALS).await?;
+    let unreadable = entries.into_iter().filter(|entry| RentalRecord::decode(&entry.value).is_err());
+    Ok(unreadable.map(|entry| entry.key).collect())
+}
+
 /// Every job that a record or a row names.
 pub async fn all_jobs(store: &Store) -> Result<BTreeSet<JobId>, StoreError> {
     let mut found = BTreeSet::new();
--- a/src/coordination/record_writing.rs
+++ b/src/coordination/record_writing.rs
@@ -290,7 +290,7 @@
 
     /// A job's final state is committed: it is told, and those that need the job follow.
     fn became_final(&mut self, now: Instant, job: &JobId, standing: Standing) {
-        tracing::debug!(%job, standing = standing.word(), "job is over");
+        tracing::debug!(epoch = self.epoch, %job, standing = standing.word(), "job is over");
         self.answer_withdrawals(job);
         match standing {
             Standing::Done => self.release_dependents(now, job),
--- a/src/coordination/renting.rs
+++ b/src/coordination/renting.rs
@@ -9,7 +9,7 @@
 use super::cloud::{CloudCall, CloudError, CloudReply, CloudResult};
 use super::demand::{Demand, GroupKey};
 use super::leader::{Leader, Ticket};
-use super::model::{Phase, Rental};
+use super::machines::{Phase, Rental};
 use crate::maps::HashSet;
 use crate::protocol::cloud::{MachineType, RentalRequest};
 use crate::protocol::workers::MachineId;
--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -11,7 +11,8 @@
 
 use super::authority::{StartEvidence, Violation};
 use super::leader::Leader;
-use super::model::{Job, Machine, Resources, SlotKey, SlotState};
+use super::machines::Machine;
+use super::model::{Job, Resources, SlotKey, SlotState};
 use crate::protocol::jobs::{JobId, JobSpec, Priority, TaskId};
 use crate::protocol::workers::{MachineId, Order};
 
--- a/src/coordination/silence.rs
+++ b/src/coordination/silence.rs
@@ -5,7 +5,7 @@
 use tokio::time::Instant;
 
 use super::leader::Leader;
-use super::model::{Machine, Phase};
+use super::machines::{Machine, Phase};
 use crate::maps::HashMap;
 
 /// Which machines have fallen silent, and whether that can be believed.
--- a/src/coordination/stopping.rs
+++ b/src/coordination/stopping.rs
@@ -5,7 +5,8 @@
 
 use super::agents::MAX_ORDERS;
 use super::leader::Leader;
-use super::model::{Machine, Phase, SlotKey, SlotState};
+use super::machines::{Machine, Phase};
+use super::model::{SlotKey, SlotState};
 use crate::protocol::jobs::{JobId, TaskId};
 use crate::protocol::workers::{MachineId, Order, Report, TaskState};
 
--- /dev/null
+++ b/src/coordination/takeover.rs
@@ -0,0 +1,236 @@
+//! What a new leader takes over: the records as it has read them, and when it knows what
+//! is on every machine that an earlier leader may have used.
+//!
+//! A machine is known by a report under this epoch's token, or once its lease is provably
+//! over. Until all are, tasks that may have begun in earlier epochs wait.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::leader::Leader;
+use super::machines::{Machine, Phase, Rental};
+use super::model::{Job, Resources};
+use super::pipelines::NeedStates;
+use super::unreadable::Unreadable;
+use crate::protocol::cloud::MachineType;
+use crate::protocol::jobs::JobId;
+use crate::protocol::workers::MachineId;
+use crate::storage::records::{Experience, JobRecord, RentalRecord, record_key, rental_key};
+
+/// What a new leader reads from the store.
+#[derive(Debug, Default)]
+pub struct Loaded {
+    pub jobs: Vec<LoadedJob>,
+    /// What was read of jobs that those await and that are not among them.
+    pub needs: NeedStates,
+    pub rentals: Vec<(RentalRecord, u64)>,
+    pub catalog: Option<(Vec<MachineType>, u64)>,
+    pub experience: Option<(Experience, u64)>,
+    /// What is there and cannot be read.
+    pub unreadable: Unreadable,
+    /// Keys that could not be read before, and are no more.
+    pub gone: Vec<String>,
+}
+
+#[derive(Debug)]
+pub struct LoadedJob {
+    pub record: JobRecord,
+    pub version: u64,
+    pub live_version: u64,
+    pub block_versions: Vec<u64>,
+}
+
+impl Leader {
+    /// Whether it would help to know that no earlier leader is in its lapse window.
+    pub fn awaits_lapse_windows(&self) -> bool {
+        !self.recovered && self.lapse_windows_over.is_none()
+    }
+
+    /// Every other controller has said, by then and after this epoch began,
+    /// that it has no picture of any epoch and so answers no worker. What it
+    /// held before, a dead process' included, is over: a name is used by one
+    /// process at a time, and a picture is only had with a new epoch.
+    pub fn lapse_windows_are_over(&mut self, at: Instant) {
+        self.lapse_windows_over.get_or_insert(at);
+    }
+
+    /// When a machine that this epoch has never answered has lost its lease.
+    pub(super) fn unheard_proof(&self) -> Instant {
+        let lapse_window = self.loaded_at + self.config.takeover_proof();
+        self.lapse_windows_over.map_or(lapse_window, |at| lapse_window.min(at + self.config.lease_proof()))
+    }
+
+    /// What is on the machine is known from now on.
+    pub(super) fn become_known(&mut self, machine: &MachineId) {
+        let Some(m) = self.machines.get_mut(machine).filter(|m| !m.known) else { return };
+        m.known = true;
+        tracing::debug!(epoch = self.epoch, %machine, tasks = m.slots.len(), "what is on the machine is known");
+        let room = self.catalog.get(m.kind).map(Resources::of_type).unwrap_or_default();
+        // Counted anew with each ordering of the queue, and not below nothing.
+        if room.fits(&self.unheard) {
+            self.unheard.sub(&room);
+        }
+        self.check_recovered();
+    }
+
+    /// Whether all that may be on machines from before this epoch is known.
+    ///
+    /// Machines become known in about the order of the walk or in any other; it goes on
+    /// where it stopped, so that a takeover's reports do not each walk the whole fleet.
+    pub(super) fn has_recovered(&mut self) -> bool {
+        let is_unknown = |m: &&Machine| m.used && !m.known;
+        let from = self.unknown_machine.take();
+        let rest = from.and_then(|from| self.machines.range(from..).map(|(_, m)| m).find(is_unknown));
+        let found = rest.or_else(|| self.machines.values().find(is_unknown));
+        self.unknown_machine = found.map(|m| m.id.clone());
+        self.unknown_machine.is_none()
+    }
+
+    /// Notes when all that was on machines before is known; what waited for it goes on.
+    pub(super) fn check_recovered(&mut self) {
+        if self.recovered || self.hidden_machines || self.catalog.is_empty() || !self.has_recovered() {
+            return;
+        }
+        self.recovered = true;
+        tracing::info!(epoch = self.epoch, "every machine is accounted for");
+        let over: Vec<JobId> = self
+            .jobs
+            .values()
+            .filter(|j| j.record.final_standing().is_some())
+            .map(|j| j.id().clone())
+            .collect();
+        for job in over {
+            self.try_move(&job);
+        }
+    }
+
+    /// Takes in what was read after the takeover: jobs that the reconciler brought back
+    /// among the living, and what could not be read before.
+    pub fn restore(&mut self, now: Instant, now_ms: u64, restored: Loaded) {
+        for key in &restored.gone {
+            self.unreadable.forget(key);
+        }
+        for job in &restored.jobs {
+            self.unreadable.forget(&record_key(&job.record.spec.id));
+        }
+        self.unreadable.extend(restored.unreadable);
+        self.restore_rentals(now, restored.rentals);
+        let new = |job: &LoadedJob| !self.jobs.contains_key(&job.record.spec.id);
+        let jobs: Vec<LoadedJob> = restored.jobs.into_iter().filter(new).collect();
+        let ids: Vec<JobId> = jobs.iter().map(|job| job.record.spec.id.clone()).collect();
+        self.insert_all_loaded(now, now_ms, jobs, &restored.needs);
+        for id in ids {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.not_before = Some(now + self.config.takeover_proof());
+            }
+        }
+    }
+
+    /// Enters fleet records that could not be read at the takeover. Whether their machines
+    /// hold tasks is known of each from its own reports from now on.
+    fn restore_rentals(&mut self, now: Instant, rentals: Vec<(RentalRecord, u64)>) {
+        for (record, version) in rentals {
+            let name = record.request.name.clone();
+            self.unreadable.forget(&rental_key(&name));
+            if !self.rentals.contains_key(&name) {
+                self.rentals.insert(name.clone(), Rental::new(record, version, now));
+                self.enter_rented(now, &name);
+            }
+        }
+    }
+
+    /// What cannot be read and is to be read again, after that key.
+    pub fn unreadable_after(&self, key: &str, most: usize) -> Vec<String> {
+        self.unreadable.next_keys(key, most)
+    }
+
+    /// Takes in jobs as they were read, all of them before what they wait for.
+    pub(super) fn insert_all_loaded(
+        &mut self,
+        now: Instant,
+        now_ms: u64,
+        jobs: Vec<LoadedJob>,
+        needs: &NeedStates,
+    ) {
+        let ids: Vec<JobId> = jobs.iter().map(|job| job.record.spec.id.clone()).collect();
+        for job in jobs {
+            self.insert_loaded(now, now_ms, job);
+        }
+        for id in ids {
+            self.join_loaded_needs(now, now_ms, &id, needs);
+        }
+        self.cancel_loaded_dependents(now);
+    }
+
+    fn insert_loaded(&mut self, now: Instant, now_ms: u64, job: LoadedJob) {
+        let age = Duration::from_millis(now_ms.saturating_sub(job.record.submitted_ms));
+        let submitted = now.checked_sub(age).unwrap_or(now);
+        let mut entry = Job::new(job.record, job.version, job.live_version, submitted, 0);
+        entry.block_versions = job.block_versions;
+        entry.unproven = entry.begun;
+        entry.cancelled_at = entry.record.cancelled.then_some(now);
+        entry.team = self.team_index.get(&entry.spec().team).copied();
+        self.note_prompt_class(entry.spec());
+        self.jobs.insert(entry.id().clone(), entry);
+    }
+
+    /// Whether a machine that is not in the picture may be answered while a fleet record
+    /// cannot be read. Each answer may keep alive tasks that nobody counts, so they end
+    /// after a lease: by then a live machine has been entered.
+    pub(super) fn may_answer_hidden(&mut self, now: Instant) -> bool {
+        let lease = self.config.settings.cluster.workers.lease();
+        let may = now < self.loaded_at + lease;
+        if may {
+            self.hidden_answered = Some(now);
+        }
+        may
+    }
+
+    /// Machines whose fleet record cannot be read, and that have not been heard, have lost
+    /// their leases by now.
+    pub(super) fn prove_hidden_machines(&mut self, now: Instant) {
+        let answered = self.hidden_answered.map(|at| at + self.config.lease_proof());
+        if !self.hidden_machines || now < self.unheard_proof() || answered.is_some_and(|proof| now < proof) {
+            return;
+        }
+        tracing::info!(epoch = self.epoch, "machines of unreadable fleet records have lost their leases");
+        self.hidden_machines = false;
+        self.queue_at = None;
+        self.check_recovered();
+    }
+
+    /// A machine that has not been answered for its whole lease, and a margin,
+    /// has killed all its tasks.
+    pub(super) fn prove_silent_machines(&mut self, now: Instant) {
+        let proof = self.config.lease_proof();
+        let unheard = self.unheard_proof();
+        let silent: Vec<MachineId> = self
+            .machines
+            .values()
+            .filter(|m| m.phase != Phase::Booting || !m.known)
+            .filter(|m| !m.known || !m.slots.is_empty())
+            // A machine that has shown our token drops the answers of an earlier
+            // leader. One that has not may never have got ours, and an earlier
+            // leader in its lapse window may have kept it alive since.
+            .filter(|m| {
+                now >= match m.answered.map(|at| at + proof) {
+                    Some(own) if m.seen.is_some() => own,
+                    Some(own) => own.max(unheard),
+                    None => unheard,
+                }
+            })
+            .map(|m| m.id.clone())
+            .collect();
+        for machine in silent {
+            tracing::info!(%machine, "silent for its whole lease; its tasks are gone");
+            self.clear_slots(now, &machine);
+            if let Some(m) = self.machines.get_mut(&machine) {
+                // A report that was held back may still list them.
+                m.least_session = m.seen.max(m.hinted).map_or(0, |(session, _)| session + 1);
+                m.free = self.catalog.get(m.kind).map(Resources::of_type).unwrap_or_default();
+            }
+            self.become_known(&machine);
+        }
+    }
+}
--- a/src/coordination/tests/simulation/mod.rs
+++ b/src/coordination/tests/simulation/mod.rs
@@ -27,8 +27,8 @@
 use tokio::time::Instant;
 
 use super::super::cloud as cloud_actor;
+use super::super::config::Config;
 use super::super::election::{self, Election};
-use super::super::leader::Config;
 use super::super::node::{Node, NodeHandle};
 use super::{placing, sample};
 use crate::maps::HashMap;
--- a/src/coordination/unreadable.rs
+++ b/src/coordination/unreadable.rs
@@ -4,26 +4,27 @@
 //! nor that a machine holds no tasks. Its key is kept, what depends on it is held back, and
 //! it is read again at a bounded pace.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
+use std::collections::btree_map::Entry;
 
 use crate::protocol::jobs::JobId;
 use crate::storage::records::{RECORDS, RENTALS, record_key};
 
-/// Keys of records that are there and cannot be used.
+/// Keys of records that are there and cannot be used, and why.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Unreadable {
-    keys: BTreeSet<String>,
+    keys: BTreeMap<String, String>,
 }
 
 impl Unreadable {
     /// A job's record, or a block of its done tasks, cannot be used.
-    pub fn note_job(&mut self, job: &JobId) {
-        self.keys.insert(record_key(job));
+    pub fn note_job(&mut self, job: &JobId, reason: String) {
+        self.keys.insert(record_key(job), reason);
     }
 
     /// The fleet record of that key cannot be used.
-    pub fn note_rental(&mut self, key: &str) {
-        self.keys.insert(key.to_owned());
+    pub fn note_rental(&mut self, key: &str, reason: String) {
+        self.keys.insert(key.to_owned(), reason);
     }
 
     /// The record was read since, or is gone.
@@ -31,9 +32,14 @@
         self.keys.remove(key);
     }
 
-    /// Takes over what another reading found.
+    /// Takes over what another reading found; what is new is logged.
     pub fn extend(&mut self, other: Unreadable) {
-        self.keys.extend(other.keys);
+        for (key, reason) in other.keys {
+            if let Entry::Vacant(entry) = self.keys.entry(key) {
+                tracing::error!(key = %entry.key(), reason, "cannot be read; what depends on it is held back");
+                entry.insert(reason);
+            }
+        }
     }
 
     pub fn len(&self) -> usize {
@@ -47,20 +53,20 @@
     /// Whether a job is among them: nothing is known of what became of it.
     pub fn contains_job(&self, job: &JobId) -> bool {
         // Mostly nothing is, and then no key need be made for each look.
-        !self.keys.is_empty() && self.keys.contains(&record_key(job))
+        !self.keys.is_empty() && self.keys.contains_key(&record_key(job))
     }
 
     /// Whether machines may be rented that no readable record names.
     pub fn hides_machines(&self) -> bool {
-        self.keys.iter().any(|key| key.starts_with(RENTALS))
+        self.keys.keys().any(|key| key.starts_with(RENTALS))
     }
 
     /// The next keys after the given one, to be read again; from the first where none
     /// follows.
     pub fn next_keys(&self, after: &str, most: usize) -> Vec<String> {
-        let following = self.keys.iter().filter(|key| key.as_str() > after);
+        let following = self.keys.keys().filter(|key| key.as_str() > after);
         let found: Vec<String> = following.take(most).cloned().collect();
-        if found.is_empty() { self.keys.iter().take(most).cloned().collect() } else { found }
+        if found.is_empty() { self.keys.keys().take(most).cloned().collect() } else { found }
     }
 
     /// The job whose record has this key.
--- a/src/coordination/unreadable/tests.rs
+++ b/src/coordination/unreadable/tests.rs
@@ -1,3 +1,5 @@
+use std::collections::BTreeSet;
+
 use super::*;
 
 #[test]
@@ -5,9 +7,9 @@
     let mut unreadable = Unreadable::default();
     assert!(unreadable.next_keys("", 2).is_empty() && !unreadable.hides_machines());
     for job in ["job-1", "job-2", "job-3"] {
-        unreadable.note_job(&JobId::parse(job).expect("valid"));
+        unreadable.note_job(&JobId::parse(job).expect("valid"), "damaged".into());
     }
-    unreadable.note_rental("hire/1-7");
+    unreadable.note_rental("hire/1-7", "damaged".into());
     assert!(unreadable.hides_machines());
     let mut after = String::new();
     let mut seen = BTreeSet::new();
--- a/src/coordination/urgency.rs
+++ b/src/coordination/urgency.rs
@@ -7,7 +7,8 @@
 use tokio::time::Instant;
 
 use super::leader::Leader;
-use super::model::{Job, Machine, Resources};
+use super::machines::Machine;
+use super::model::{Job, Resources};
 use crate::maps::HashMap;
 use crate::protocol::jobs::{JobId, JobSpec, Priority};
 use crate::settings::Objective;
