--- a/src/coordination/tests/pipelines.rs
+++ b/src/coordination/tests/pipelines.rs
@@ -318,3 +318,59 @@
     rig.submit(awaiting("job-y", &names));
     assert_eq!(rig.lookups.pop().map(|(_, otherwise)| otherwise.status), Some(422));
 }
+
+/// How an acceptance under way ends, with a word for it.
+type PathIn = (&'static str, fn(&mut Rig));
+
+/// Whichever path brings a job into the picture, it starts on evidence that its needs are
+/// done, and on nothing less: an acceptance that had to be tried again, one that was asked
+/// for twice, a takeover, the reconciler.
+#[test]
+fn a_job_with_needs_waits_whatever_path_has_brought_it_in() {
+    let stage = || awaiting("job-2", &["job-1"]);
+    let accepted = |rig: &mut Rig| {
+        rig.accept(sample("job-1", "red", 1, 8.0));
+        rig.submit(stage());
+    };
+    let paths: [PathIn; 3] = [
+        ("its outcome was read back", |rig| drop(rig.commit_all())),
+        ("asked for again meanwhile", |rig| {
+            rig.submit(awaiting("job-2", &["job-1"]));
+            rig.commit_all();
+        }),
+        ("refused, and brought back by the reconciler", |rig| {
+            rig.fail_commit(StoreError::Conflict);
+            let restored = Loaded { jobs: vec![unbegun(awaiting("job-2", &["job-1"]))], ..Loaded::default() };
+            rig.leader.restore(rig.now, MS, restored);
+            rig.pass(rig.config.takeover_proof().as_secs_f64() + 1.0);
+        }),
+    ];
+    for (path, bring_in) in paths {
+        let mut rig = Rig::with_machines(&["vm-1"]);
+        accepted(&mut rig);
+        bring_in(&mut rig);
+        let first = rig.starts_after(2, vec![]);
+        assert_eq!(
+            first.iter().map(|(task, _)| task.job.clone()).collect::<Vec<_>>(),
+            [id("job-1")],
+            "{path}"
+        );
+        rig.starts_after(3, vec![listed(&first[0], DONE)]);
+        assert!(rig.starts_after(4, vec![]).is_empty(), "{path}: its end is not committed");
+        rig.commit_all();
+        rig.starts_after(5, vec![]);
+        rig.commit_all();
+        assert_eq!(rig.starts_after(6, vec![]).len(), 1, "{path}: released");
+    }
+    // And a takeover, with the need in the picture or not.
+    let need = unbegun(sample("job-1", "red", 1, 8.0));
+    let mut rig = loaded_with(vec![unbegun(stage()), need], &[]);
+    rig.starts_after(2, vec![]);
+    rig.commit_all();
+    let first = rig.starts_after(3, vec![]);
+    assert_eq!(first.iter().map(|(task, _)| task.job.clone()).collect::<Vec<_>>(), [id("job-1")]);
+    let mut rig = loaded_with(vec![unbegun(stage())], &[("job-1", NeedState::Unreadable)]);
+    rig.starts_after(2, vec![]);
+    rig.commit_all();
+    assert!(rig.starts_after(3, vec![]).is_empty());
+}
--- a/tests/soak/processes.rs
+++ b/tests/soak/processes.rs
@@ -48,8 +48,10 @@
     prompt: bool,
 }
 
+/// Where a controller is to listen. Connections go out from another loopback address, so
+/// none of them takes the port before the controller does.
 async fn free_address() -> std::io::Result<SocketAddr> {
-    tokio::net::TcpListener::bind("127.0.0.1:0").await?.local_addr()
+    tokio::net::TcpListener::bind("127.0.1.1:0").await?.local_addr()
 }
 
 /// What all controllers of a run have in common.
