--- a/src/coordination/agents.rs
+++ b/src/coordination/agents.rs
@@ -79,7 +79,33 @@
         if report.token < epoch {
             return if outlives { ReportReply::Elsewhere } else { self.take_hint(now, report) };
         }
-        let Some(m) = self.machines.get_mut(&report.machine) else { return ReportReply::Elsewhere };
+        let renewed = self.note_heard(now, report, !outlives);
+        if renewed {
+            // A new session begins without tasks.
+            self.clear_slots(now, &report.machine);
+        }
+        self.take_tasks(now, report);
+        self.become_known(&report.machine);
+        if outlives {
+            return ReportReply::Elsewhere;
+        }
+        let mut orders = self.stops_and_reaps(report);
+        self.mark_used(&report.machine);
+        self.stop_for_notice(now, &report.machine);
+        let (doubted, probe) = self.judge_hearing(now, &report.machine);
+        if orders.len() < MAX_ORDERS && (!doubted || probe) {
+            // A doubted machine is tried with a single start now and then.
+            let room = if doubted { 1 } else { MAX_ORDERS - orders.len() };
+            self.fill(now, &report.machine, stamp.1, room, &mut orders);
+        }
+        ReportReply::Orders { token: epoch, orders }
+    }
+
+    /// Notes that a machine was heard under this epoch's token, and whether it is answered.
+    /// Returns whether its session is a new one.
+    fn note_heard(&mut self, now: Instant, report: &Report, answers: bool) -> bool {
+        let stamp = (report.session, report.seq);
+        let Some(m) = self.machines.get_mut(&report.machine) else { return false };
         let lease = self.config.settings.cluster.workers.lease();
         // The first effect of ours that can be seen is the token.
         if m.seen.is_none() || m.hinted.take().is_some() {
@@ -91,7 +117,7 @@
             // Its lease has run out although it was answered.
             m.answer_tracker.miss(now);
         }
-        if !outlives {
+        if answers {
             m.answered = Some(now);
         }
         m.heard = Some(now);
@@ -107,25 +133,7 @@
             }
             m.taken_at = Some(now + Duration::from_secs_f64(seconds.min(1e6)));
         }
-        if renewed {
-            // A new session begins without tasks.
-            self.clear_slots(now, &report.machine);
-        }
-        self.take_tasks(now, report);
-        self.become_known(&report.machine);
-        if outlives {
-            return ReportReply::Elsewhere;
-        }
-        let mut orders = self.stops_and_reaps(report);
-        self.mark_used(&report.machine);
-        self.stop_for_notice(now, &report.machine);
-        let (doubted, probe) = self.judge_hearing(now, &report.machine);
-        if orders.len() < MAX_ORDERS && (!doubted || probe) {
-            // A doubted machine is tried with a single start now and then.
-            let room = if doubted { 1 } else { MAX_ORDERS - orders.len() };
-            self.fill(now, &report.machine, stamp.1, room, &mut orders);
-        }
-        ReportReply::Orders { token: epoch, orders }
+        renewed
     }
 
     /// Whether the empty answer to a report that was just taken is to be held, since a
--- a/src/coordination/node/tests.rs
+++ b/src/coordination/node/tests.rs
@@ -271,17 +271,8 @@
 #[tokio::test]
 async fn what_was_handed_on_cannot_be_handed_on_again() {
     let (_node, mut inputs, handle) = rig().await;
-    let report = MapBuilder::new()
-        .set("bench", "vm-1")
-        .set("address", "")
-        .set("build", "m8")
-        .set("hall", "z1")
-        .set("shift", 1)
-        .set("tick", 1)
-        .set("baton", 1)
-        .build();
     for handed_on in [false, true] {
-        let (handle, body) = (handle.clone(), encode(&report));
+        let (handle, body) = (handle.clone(), beat(1));
         tokio::spawn(async move {
             match handed_on {
                 true => drop(PeerHandler::handle(&handle, PeerCall::Report(body), false).await),
@@ -454,8 +445,8 @@
     }
 }
 
-/// A worker's report under epoch 40, as it came.
-fn beat_under_40() -> Vec<u8> {
+/// A worker's report under that token, as it comes.
+fn beat(token: u64) -> Vec<u8> {
     let report = MapBuilder::new()
         .set("bench", "vm-1")
         .set("address", "")
@@ -463,7 +454,7 @@
         .set("hall", "z1")
         .set("shift", 1)
         .set("tick", 1)
-        .set("baton", 40);
+        .set("baton", token);
     encode(&report.build())
 }
 
@@ -498,11 +489,9 @@
             leading_for_a_second(&mut node, starts);
             let answered = tokio::spawn(async move {
                 match handed_on {
-                    true => {
-                        PeerHandler::handle(&handle, PeerCall::Report(beat_under_40()), false).await.status
-                    }
+                    true => PeerHandler::handle(&handle, PeerCall::Report(beat(40)), false).await.status,
                     false => {
-                        let beat = request("POST", "/agent/beat", &beat_under_40());
+                        let beat = request("POST", "/agent/beat", &beat(40));
                         crate::transport::server::Handler::handle(&handle, beat).await.status
                     }
                 }
--- a/tests/soak/history.rs
+++ b/tests/soak/history.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+pub use shedtally::protocol::jobs::Standing;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
@@ -15,30 +16,6 @@
     Withdraw,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Standing {
-    Queued,
-    Running,
-    Done,
-    Cancelled,
-}
-
-impl Standing {
-    pub fn parse(word: &str) -> Option<Self> {
-        match word {
-            "queued" => Some(Standing::Queued),
-            "running" => Some(Standing::Running),
-            "done" => Some(Standing::Done),
-            "cancelled" => Some(Standing::Cancelled),
-            _ => None,
-        }
-    }
-
-    pub fn is_final(self) -> bool {
-        matches!(self, Standing::Done | Standing::Cancelled)
-    }
-}
-
 /// A task on a machine: jobs by their number in the plan.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct TaskOn {
