--- a/src/cli.rs
+++ b/src/cli.rs
@@ -298,7 +298,8 @@
     let (term, until) = watch::channel(tokio::time::Instant::now());
     let cloud = cloud::start(settings.services.cloud, cluster.cloud.rps, Duration::from_secs(4), until);
     let incarnation = format!("{:016x}", rand::random::<u64>());
-    tracing::info!(name = %settings.name, zone = %settings.zone, %incarnation, "starting");
+    let build = env!("CARGO_PKG_VERSION");
+    tracing::info!(name = %settings.name, zone = %settings.zone, build, %incarnation, "starting");
     let election = Election::new(&settings.name, &incarnation, ttl);
     let (roles_in, roles) = mpsc::channel(16);
     let (abandoned, given_up) = watch::channel(0);
--- a/src/coordination/answers.rs
+++ b/src/coordination/answers.rs
@@ -64,7 +64,13 @@
     /// The last step before it is sent: one that has outlived its basis is not told.
     pub fn at_sending(self, now: Instant) -> Self {
         match self.basis {
-            Some(basis) if now >= basis.until => Answer::later(503, "leadership may have changed", 1),
+            Some(basis) if now >= basis.until => {
+                tracing::info!(
+                    epoch = basis.epoch,
+                    "an answer has outlived what it rested on; it is not sent"
+                );
+                Answer::later(503, "leadership may have changed", 1)
+            }
             _ => self,
         }
     }
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -447,7 +447,10 @@
             Role::Follows { leader, .. } => format!("follows {leader}"),
             Role::Leads { .. } => "leads".to_owned(),
         };
-        let figures = MapBuilder::new().set("name", self.config.settings.name.as_str()).set("role", role);
+        let figures = MapBuilder::new()
+            .set("name", self.config.settings.name.as_str())
+            .set("build", env!("CARGO_PKG_VERSION"))
+            .set("role", role);
         let figures = figures.set("epochsReused", self.violations);
         let figures = match &self.leader {
             Some(leader) => leader.figures(figures),
