Add a test of answers with 3,000 unfinished jobs after faults, which fails

After the last fault no job gets an answer for 75 s. Seen with the log: each controller leads once, loses its lease while it reads the jobs (epochs 2, 4 and 6, 2.6 s each), and then none acquires the key again, for the rest of the run: "no leader known". It happens before the first fault already, so size alone is enough; the faults only add a failover.

The jobs are put into the store before the run.

--- a/src/coordination/tests/mod.rs
+++ b/src/coordination/tests/mod.rs
@@ -2,6 +2,7 @@
 //! on a clock that only the test advances ([`harness`]); and tests of whole clusters in
 //! simulated time ([`simulation`]).
 
+mod answers_after_faults;
 mod cancellation;
 mod decision_trace;
 mod dependencies;
--- a/src/coordination/tests/simulation/mod.rs
+++ b/src/coordination/tests/simulation/mod.rs
@@ -50,11 +50,12 @@
 use crate::policy;
 use crate::protocol::cbor::{Fields, MapBuilder, decode, encode, text_array};
 use crate::protocol::cloud::{MachineType, encode_catalog};
-use crate::protocol::jobs::{JobId, JobKind, JobSpec, Priority};
+use crate::protocol::jobs::{JobId, JobKind, JobSpec, JobState, Priority};
 use crate::settings::{self, Settings};
 use crate::storage::in_memory_kv;
 use crate::storage::kv;
 use crate::storage::rate_limit::TokenBucket;
+use crate::storage::records::{JobRecord, encode_row, job_record_key, live_row_key};
 use crate::transport::client::{ClientError, HttpCall};
 use crate::transport::codec::{Request, Response};
 use crate::transport::peer::{PeerCall, PeerHandler, PeerReply};
@@ -225,6 +226,7 @@
         });
     }
     cluster.limits.memory_mb = shape.memory_mb;
+    cluster.limits.max_connections = shape.sockets;
     cluster.workers.lease_s = 20.0;
     cluster.workers.cancel_s = 45.0;
     if seed % 4 >= 2 {
--- a/src/coordination/tests/simulation/shape.rs
+++ b/src/coordination/tests/simulation/shape.rs
@@ -22,6 +22,8 @@
     pub value_kb: f64,
     /// Memory limit of a controller, in MB; bounds the terminal states that it remembers.
     pub memory_mb: f64,
+    /// Sockets that a controller may open, which bounds its queues and concurrent reads.
+    pub sockets: usize,
     /// Maximum number of keys in one page of the state service.
     pub page: usize,
     /// Probability that a job may depend on others.
@@ -43,12 +45,19 @@
             writes: 80.0,
             value_kb: settings::tests::sample().cluster.kv.value_kb,
             memory_mb: settings::tests::sample().cluster.limits.memory_mb,
+            sockets: settings::tests::sample().cluster.limits.max_connections,
             page: 1000,
             dependent_probability: 0.0,
             limits_lowered: false,
         }
     }
 
+    /// The state service and the sockets of a cluster with thousands of unfinished jobs, which
+    /// the test adds ([`Simulation::add_accepted_jobs`]).
+    pub fn large(controllers: usize) -> Self {
+        ClusterShape { writes: 240.0, memory_mb: 188.0, sockets: 13_600, ..ClusterShape::usual(controllers) }
+    }
+
     /// Many jobs depend on others, and lower limits of the state service are announced.
     pub fn with_dependencies(self) -> Self {
         ClusterShape { dependent_probability: 0.4, limits_lowered: true, ..self }
--- a/src/coordination/tests/simulation/users.rs
+++ b/src/coordination/tests/simulation/users.rs
@@ -107,6 +107,25 @@
         self.jobs.insert(id, Job::new(now, spec, run_s, cancel_from));
     }
 
+    /// Adds jobs that were accepted before the simulation began: their records and live rows are in
+    /// the state service, and their users poll them. They are too large for any free capacity.
+    pub fn add_accepted_jobs(&mut self, count: usize) {
+        let now = Instant::now();
+        for number in 0..count {
+            let mut spec = sample(&format!("job-5{number:05}"), "red", 1, 4.0);
+            spec.spot = false;
+            let record = JobRecord::new(spec.clone(), 0);
+            let row = encode_row(JobState::Queued);
+            self.state.seed(&job_record_key(&spec.id), record.encode(self.shape.value_kb), 1);
+            self.state.seed(&live_row_key(&spec.id), row, 1);
+            let mut job = Job::new(now, spec, AFTER_THE_END.as_secs_f64(), None);
+            job.accepted = Some(now);
+            job.submitted = true;
+            job.next = now + seconds(self.rng.random_range(0.0..3.0));
+            self.jobs.insert(job.spec.id.as_str().to_owned(), job);
+        }
+    }
+
     /// Sends the next request of a job's user, if one is due.
     pub(super) fn step_user(&mut self, now: Instant, id: &str) {
         let resubmits = self.rng.random_bool(0.05);
--- a/src/storage/in_memory_kv.rs
+++ b/src/storage/in_memory_kv.rs
@@ -128,16 +128,19 @@
                         let _ = reply.send(Response { status, body, retry_after_s: None, close: false });
                     }
                 }
-                Message::Seed(key, value, version) => {
-                    self.store.revision = self.store.revision.max(version);
-                    self.store.entries.insert(key, Stored { value, version, lease: None });
-                }
+                Message::Seed(key, value, version) => self.seed(&key, value, version),
                 Message::Limit(limits) => self.limit(limits),
                 Message::CommitSizes(reply) => drop(reply.send(self.commit_sizes.clone())),
             }
         }
     }
 
+    /// Stores a value with this version.
+    pub fn seed(&mut self, key: &str, value: Value, version: u64) {
+        self.store.revision = self.store.revision.max(version);
+        self.store.entries.insert(key.to_owned(), Stored { value, version, lease: None });
+    }
+
     /// From now on values and transactions beyond these limits are rejected.
     pub fn limit(&mut self, limits: KvLimits) {
         self.store.limits = Some(limits);
