Send the election's requests past the queue of all other requests

Seen: with 3,000 unfinished jobs no job is answered, for minutes after all faults, at any controller. Each controller leads once, loses its lease while it reads the jobs, and then none acquires the key again.

Cause: priority inversion. A failover spawns a read for each job, so a renewal waited in the channel behind all of them, longer than the lease. Afterwards it was the acquisition that waited, behind the former leader's reads, which now went out at a follower's share of the rate: each granted lease was too old to be used when its turn came. So the failure outlasted its trigger.

Excluded: slots and tokens.

Change: the election's requests have a channel of their own, which the actor always receives from. The election has one request in flight, so the channel does not grow.

--- a/src/coordination/tests/answers_after_faults.rs
+++ b/src/coordination/tests/answers_after_faults.rs
@@ -1,31 +1,38 @@
 //! Answers about accepted jobs after faults have ended, in clusters with thousands of unfinished
-//! jobs: every user gets one within the time limit, at whichever controller the user asks.
+//! jobs: every user gets one within the time limit, and every controller answers about every job.
 
-use super::random_faults::in_simulated_time;
-use super::simulation::{ClusterShape, Fault, Simulation};
+use std::time::Duration;
+
+use super::random_faults::{in_simulated_time, submit_job};
+use super::simulation::{ClusterShape, Fault, Origin, Simulation};
 
 use Fault::*;
 
-/// Unfinished jobs: more than a leader reads of the state service within its lease.
-const UNFINISHED_JOBS: usize = 3000;
+/// Accepted jobs: the unfinished ones are more than a leader reads of the state service within its
+/// lease.
+const ACCEPTED_JOBS: usize = 3000;
 /// All faults have ended by this time, in seconds of simulated time.
-const FAULTS_END: f64 = 45.0;
-/// When the simulation ends: after the time within which users must be answered.
-const END: f64 = FAULTS_END + 85.0;
+const FAULTS_END: f64 = 60.0;
+/// When every job is polled at every controller: after the time within which users must be answered.
+const ANSWERED_BY: f64 = FAULTS_END + 80.0;
+/// Pause between two of these polls.
+const POLL_PAUSE: Duration = Duration::from_millis(1);
+/// When the simulation ends, after the answers to these polls.
+const END: f64 = ANSWERED_BY + 15.0;
 
-/// Runs faults on a cluster with [`UNFINISHED_JOBS`].
-fn run_with_faults(faults: &[(f64, Fault)]) -> Simulation {
-    in_simulated_time(async {
+/// Checks that no user was left without an answer after these faults, that every controller
+/// answers about every job, and that no other rule was violated.
+fn check_all_answered(faults: &[(f64, Fault)]) {
+    let simulation = in_simulated_time(async {
         let mut simulation = Simulation::shaped(1, ClusterShape::large(3), faults.to_vec(), FAULTS_END);
-        simulation.add_accepted_jobs(UNFINISHED_JOBS);
+        simulation.add_accepted_jobs(ACCEPTED_JOBS);
+        simulation.run(ANSWERED_BY).await;
+        let jobs = simulation.poll_accepted_jobs_everywhere(POLL_PAUSE);
+        assert!(jobs >= ACCEPTED_JOBS);
         simulation.run(END).await;
+        simulation.check_answered_everywhere();
         simulation
-    })
-}
-
-/// Checks that no user was left without an answer, and that no other rule was violated.
-fn check_all_answered(faults: &[(f64, Fault)]) {
-    let simulation = run_with_faults(faults);
+    });
     assert!(
         simulation.violations.is_empty(),
         "{} epochs, violations: {:#?}",
@@ -38,3 +45,67 @@
 fn no_job_is_forgotten_after_all_controllers_were_killed_during_an_outage() {
     check_all_answered(&[(20.0, Outage { lasts: 15.0 }), (25.0, KillAll { restart_after: 3.0 })]);
 }
+
+#[test]
+fn no_job_is_forgotten_after_leaders_changed_in_series() {
+    let kill = Kill { controller: None, restart_after: 0.3 };
+    check_all_answered(&[25.0, 28.0, 31.0, 40.0, 41.0, 55.0].map(|at| (at, kill)));
+}
+
+#[test]
+fn no_job_is_forgotten_after_an_outage_longer_than_the_leases() {
+    check_all_answered(&[(20.0, Outage { lasts: 38.0 })]);
+}
+
+#[test]
+fn no_job_is_forgotten_after_the_leader_alone_was_refused_and_another_stalled() {
+    check_all_answered(&[
+        (25.0, StateServiceRefuses { lasts: 20.0, peers: true }),
+        (35.0, Stall { controller: None, lasts: 20.0 }),
+    ]);
+}
+
+#[test]
+fn no_job_is_forgotten_after_a_zone_partition_and_a_killed_leader() {
+    check_all_answered(&[
+        (25.0, ZonePartition { lasts: 30.0 }),
+        (30.0, Kill { controller: None, restart_after: 3.0 }),
+        (32.0, PeersUnreachable { lasts: 20.0 }),
+    ]);
+}
+
+#[test]
+fn no_job_is_forgotten_while_single_responses_of_the_state_service_are_lost() {
+    check_all_answered(&[
+        (0.0, LostResponses { probability: 0.01, lasts: 1000.0 }),
+        (30.0, KillAll { restart_after: 3.0 }),
+    ]);
+}
+
+#[test]
+fn no_job_is_forgotten_after_responses_were_lost_and_leaders_killed() {
+    let kill = Kill { controller: None, restart_after: 3.0 };
+    check_all_answered(&[
+        (20.0, LostResponses { probability: 0.2, lasts: 38.0 }),
+        (30.0, kill),
+        (45.0, kill),
+    ]);
+}
+
+#[test]
+fn the_checker_catches_a_job_about_which_one_controller_does_not_answer() {
+    let violations = in_simulated_time(async {
+        let mut simulation = Simulation::new(1, 2, Vec::new(), 0.0);
+        let now = submit_job(&mut simulation, |_| {}) + POLL_PAUSE;
+        for controller in [0, 1] {
+            simulation.check_answered_everywhere();
+            assert!(!simulation.violations.is_empty(), "not yet answered by all");
+            simulation.violations.clear();
+            let origin = Origin { sent: now, process: (controller, 1), order: 1 };
+            simulation.note_answer(now, "job-1", origin, 200, Some("queued"), false);
+        }
+        simulation.check_answered_everywhere();
+        simulation.violations
+    });
+    assert!(violations.is_empty(), "answered by all: {violations:?}");
+}
--- a/src/coordination/tests/random_faults.rs
+++ b/src/coordination/tests/random_faults.rs
@@ -165,7 +165,7 @@
 }
 
 /// Submits `job-1` with four tasks and tells its user that it is queued.
-fn submit_job(simulation: &mut Simulation, change: impl FnOnce(&mut JobSpec)) -> Instant {
+pub fn submit_job(simulation: &mut Simulation, change: impl FnOnce(&mut JobSpec)) -> Instant {
     let now = Instant::now();
     let mut spec = sample("job-1", "red", 4, 4.0);
     change(&mut spec);
--- a/src/coordination/tests/simulation/answers.rs
+++ b/src/coordination/tests/simulation/answers.rs
@@ -89,6 +89,9 @@
         if matches!(status, 200 | 201 | 404) {
             job.last_answer_at = now;
         }
+        if status == 200 && origin.sent > self.faults_end_at {
+            job.answered_by.insert(origin.process.0);
+        }
         let violations = match (status, state) {
             (404, _) if was_accepted => vec![("forgotten", "accepted job not found")],
             (400 | 422, _) if was_accepted => {
--- a/src/coordination/tests/simulation/cluster.rs
+++ b/src/coordination/tests/simulation/cluster.rs
@@ -153,6 +153,8 @@
     pub(super) terminal: Option<TerminalState>,
     /// When its user last got an answer about it.
     pub(super) last_answer_at: Instant,
+    /// The controllers that have answered 200 to a request sent after the end of the faults.
+    pub(super) answered_by: BTreeSet<usize>,
     /// When its user sends the next request.
     pub(super) next: Instant,
     /// Whether a request of its user awaits its answer.
@@ -175,6 +177,7 @@
             cancelled: None,
             terminal: None,
             last_answer_at: now,
+            answered_by: BTreeSet::new(),
             next: now,
             in_flight: false,
             done: BTreeSet::new(),
--- a/src/coordination/tests/simulation/mod.rs
+++ b/src/coordination/tests/simulation/mod.rs
@@ -55,7 +55,7 @@
 use crate::storage::in_memory_kv;
 use crate::storage::kv;
 use crate::storage::rate_limit::TokenBucket;
-use crate::storage::records::{JobRecord, encode_row, job_record_key, live_row_key};
+use crate::storage::records::{JobRecord, archived_row_key, encode_row, job_record_key, live_row_key};
 use crate::transport::client::{ClientError, HttpCall};
 use crate::transport::codec::{Request, Response};
 use crate::transport::peer::{PeerCall, PeerHandler, PeerReply};
--- a/src/coordination/tests/simulation/rules.rs
+++ b/src/coordination/tests/simulation/rules.rs
@@ -144,6 +144,20 @@
         }
     }
 
+    /// Checks that every controller has answered 200 about every accepted job since the end of the
+    /// faults. To be called after [`Self::poll_accepted_jobs_everywhere`] and time for the answers.
+    pub fn check_answered_everywhere(&mut self) {
+        let all: BTreeSet<usize> = (0..self.controllers.len()).collect();
+        let accepted = self.jobs.iter().filter(|(_, job)| job.accepted.is_some());
+        let unanswered: Vec<String> = accepted
+            .filter(|(_, job)| job.answered_by != all)
+            .map(|(id, job)| format!("{id}: answered only by {:?}", job.answered_by))
+            .collect();
+        for what in unanswered {
+            self.record_violation("unanswered", what);
+        }
+    }
+
     /// Jobs that wait although an idle machine could run one of their tasks within the quota of
     /// their team.
     fn passed_over_jobs(&self, now: Instant) -> BTreeSet<String> {
--- a/src/coordination/tests/simulation/users.rs
+++ b/src/coordination/tests/simulation/users.rs
@@ -107,18 +107,28 @@
         self.jobs.insert(id, Job::new(now, spec, run_s, cancel_from));
     }
 
-    /// Adds jobs that were accepted before the simulation began: their records and live rows are in
-    /// the state service, and their users poll them. They are too large for any free capacity.
+    /// Adds jobs that were accepted before the simulation began: their records and rows are in the
+    /// state service, and their users poll them. One in ten is done, one in ten cancelled; the others
+    /// are too long to end.
     pub fn add_accepted_jobs(&mut self, count: usize) {
         let now = Instant::now();
         for number in 0..count {
             let mut spec = sample(&format!("job-5{number:05}"), "red", 1, 4.0);
             spec.spot = false;
-            let record = JobRecord::new(spec.clone(), 0);
-            let row = encode_row(JobState::Queued);
-            self.state.seed(&job_record_key(&spec.id), record.encode(self.shape.value_kb), 1);
-            self.state.seed(&live_row_key(&spec.id), row, 1);
-            let mut job = Job::new(now, spec, AFTER_THE_END.as_secs_f64(), None);
+            let mut job = Job::new(now, spec.clone(), AFTER_THE_END.as_secs_f64(), None);
+            let mut record = JobRecord::new(spec, 0);
+            match number % 10 {
+                0 => {
+                    record.completed = true;
+                    job.done.insert(0);
+                }
+                1 => {
+                    record.cancelled = true;
+                    job.cancel_from = Some(now);
+                }
+                _ => {}
+            }
+            self.store_record(&record);
             job.accepted = Some(now);
             job.submitted = true;
             job.next = now + seconds(self.rng.random_range(0.0..3.0));
@@ -126,6 +136,17 @@
         }
     }
 
+    /// Stores a job's record and its row.
+    fn store_record(&mut self, record: &JobRecord) {
+        let id = &record.spec.id;
+        let (row_key, state) = match record.terminal_state() {
+            Some(state) => (archived_row_key(id), state),
+            None => (live_row_key(id), JobState::Queued),
+        };
+        self.state.seed(&job_record_key(id), record.encode(self.shape.value_kb), 1);
+        self.state.seed(&row_key, encode_row(state), 1);
+    }
+
     /// Sends the next request of a job's user, if one is due.
     pub(super) fn step_user(&mut self, now: Instant, id: &str) {
         let resubmits = self.rng.random_bool(0.05);
@@ -259,10 +280,20 @@
     /// Polls every terminal job at every controller, with a pause between requests; returns the
     /// number of jobs.
     pub fn poll_finished_jobs_everywhere(&mut self, pause: Duration) -> usize {
-        let terminal: Vec<String> =
-            self.jobs.iter().filter(|(_, job)| job.terminal.is_some()).map(|(id, _)| id.clone()).collect();
+        self.poll_everywhere(pause, |job| job.terminal.is_some())
+    }
+
+    /// Polls every accepted job at every controller, with a pause between requests; returns the
+    /// number of jobs.
+    pub fn poll_accepted_jobs_everywhere(&mut self, pause: Duration) -> usize {
+        self.poll_everywhere(pause, |job| job.accepted.is_some())
+    }
+
+    fn poll_everywhere(&mut self, pause: Duration, is_polled: impl Fn(&Job) -> bool) -> usize {
+        let polled: Vec<String> =
+            self.jobs.iter().filter(|(_, job)| is_polled(job)).map(|(id, _)| id.clone()).collect();
         let (now, mut after) = (Instant::now(), Duration::ZERO);
-        for id in &terminal {
+        for id in &polled {
             for at in 0..self.controllers.len() {
                 let request = self.request_about(id, RequestKind::Poll);
                 let (id, request_kind) = (id.clone(), RequestKind::Poll);
@@ -273,7 +304,7 @@
                 after += pause;
             }
         }
-        terminal.len()
+        polled.len()
     }
 
     /// Sends extra requests about random accepted jobs, including those that have long been
--- a/src/storage/kv.rs
+++ b/src/storage/kv.rs
@@ -91,6 +91,8 @@
 /// Handle to the actor. Clones share the actor, which stops when all of them are dropped.
 #[derive(Debug, Clone)]
 pub struct KvClient {
+    /// Requests of class [`RequestClass::Renewal`], which wait behind no other class.
+    renewals: mpsc::Sender<Request>,
     requests: mpsc::Sender<Request>,
     deadline: Duration,
     limits: watch::Receiver<KvLimits>,
@@ -110,7 +112,8 @@
     /// that the request was not carried out.
     pub async fn send_raw(&self, class: RequestClass, call: HttpCall) -> HttpResult {
         let (reply, response) = oneshot::channel();
-        if self.requests.send(Request::Raw { class, call, reply }).await.is_err() {
+        let channel = if class == RequestClass::Renewal { &self.renewals } else { &self.requests };
+        if channel.send(Request::Raw { class, call, reply }).await.is_err() {
             return Err(ClientError::NotSent);
         }
         response.await.unwrap_or(Err(ClientError::NotSent))
--- a/src/storage/kv/actor.rs
+++ b/src/storage/kv/actor.rs
@@ -24,7 +24,10 @@
 const MAX_IN_FLIGHT: usize = 8;
 /// Number of [`MAX_IN_FLIGHT`] requests that all other classes leave for renewals.
 const RENEWAL_SLOTS: usize = 2;
-/// Capacity of the channel on which the actor receives requests.
+/// Capacity of the channel on which the actor receives the election's requests. The election sends
+/// one at a time.
+const RENEWAL_CHANNEL_CAPACITY: usize = 4;
+/// Capacity of the channel on which the actor receives all other requests.
 const REQUEST_CHANNEL_CAPACITY: usize = 256;
 /// Capacity of the channel on which the actor receives responses.
 const RESPONSE_CHANNEL_CAPACITY: usize = 64;
@@ -56,6 +59,15 @@
     ReadBack { pending: PendingTransaction, result: HttpResult, connection: Option<Connection> },
 }
 
+/// The channels on which the actor receives messages.
+struct Inboxes {
+    /// The election's requests, which the actor receives however many others are queued.
+    renewals: mpsc::Receiver<Request>,
+    /// All other requests.
+    requests: mpsc::Receiver<Request>,
+    responses: mpsc::Receiver<Finished>,
+}
+
 /// What the actor does next.
 enum NextAction {
     /// Send the first waiting request, which has this number of puts and deletes.
@@ -101,6 +113,7 @@
     deadline: Duration,
     is_leader: watch::Receiver<bool>,
 ) -> KvClient {
+    let (renewals, renewal_inbox) = mpsc::channel(RENEWAL_CHANNEL_CAPACITY);
     let (requests, inbox) = mpsc::channel(REQUEST_CHANNEL_CAPACITY);
     let (finished, responses) = mpsc::channel(RESPONSE_CHANNEL_CAPACITY);
     let initial = state.initial();
@@ -118,19 +131,14 @@
         log_throttle: LogThrottle::default(),
         finished,
     };
-    tokio::spawn(actor.run(controllers, inbox, responses, is_leader));
-    KvClient { requests, deadline, limits }
+    let inboxes = Inboxes { renewals: renewal_inbox, requests: inbox, responses };
+    tokio::spawn(actor.run(controllers, inboxes, is_leader));
+    KvClient { renewals, requests, deadline, limits }
 }
 
 impl Actor {
     /// Runs until all clients, or the sender of `is_leader`, are dropped.
-    async fn run(
-        mut self,
-        controllers: u32,
-        mut inbox: mpsc::Receiver<Request>,
-        mut responses: mpsc::Receiver<Finished>,
-        mut is_leader: watch::Receiver<bool>,
-    ) {
+    async fn run(mut self, controllers: u32, mut inboxes: Inboxes, mut is_leader: watch::Receiver<bool>) {
         loop {
             let wait = self.dispatch(Instant::now());
             let sleep = tokio::time::sleep(wait.unwrap_or(IDLE_SLEEP));
@@ -142,8 +150,9 @@
                     let limits = *self.limits_in_force.borrow();
                     self.rates.set_share(RateShare { controllers, leading }, limits);
                 }
-                Some(finished) = responses.recv() => self.handle_finished(finished),
-                request = inbox.recv(), if self.queues.len() < MAX_QUEUED => match request {
+                Some(request) = inboxes.renewals.recv() => self.queues.push_back(request),
+                Some(finished) = inboxes.responses.recv() => self.handle_finished(finished),
+                request = inboxes.requests.recv(), if self.queues.len() < MAX_QUEUED => match request {
                     Some(request) => self.queues.push_back(request),
                     None => return,
                 },
--- a/src/storage/kv/tests.rs
+++ b/src/storage/kv/tests.rs
@@ -1,6 +1,8 @@
 //! Tests of the actor with a key-value store over HTTP: fencing, unknown outcomes, batches and
 //! limits.
 
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
 use tokio::time::Instant;
 
 use super::rates::write_reserve;
@@ -9,6 +11,10 @@
 use crate::storage::in_memory_kv::{FakeKvServer, Script, kv_client, kv_client_within, limits, put};
 use crate::storage::rate_limit::{LogThrottle, TokenBucket};
 use crate::storage::records::LEADER;
+use crate::transport::simulated_network::{self, SimulatedRequest};
+
+/// The simulated network delivers requests whatever their address.
+const UNUSED_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 1);
 
 /// A store whose leader has epoch 7 and whose next commits fail as scripted, and its client.
 async fn client_and_server(script: &[Script]) -> (KvClient, FakeKvServer) {
@@ -39,6 +45,54 @@
     }
 }
 
+/// A store on the simulated network that answers each read, without an entry, after a short time.
+fn serve_absent_keys() {
+    let mut network = simulated_network::install();
+    tokio::spawn(async move {
+        while let Some(request) = network.recv().await {
+            let SimulatedRequest::Http { reply, .. } = request else { continue };
+            tokio::spawn(async move {
+                tokio::time::sleep(STORE_LATENCY).await;
+                let _ = reply.send(Ok(Response {
+                    status: 404,
+                    body: Vec::new(),
+                    retry_after_s: None,
+                    close: false,
+                }));
+            });
+        }
+    });
+}
+
+const STORE_LATENCY: Duration = Duration::from_millis(5);
+/// A lease is renewed four times in its duration; its renewal may take a tenth of that interval.
+const RENEWAL_BOUND: Duration = Duration::from_millis(2500 / 4 / 10);
+/// More reads than the actor queues.
+const WAITING_READS: usize = 3000;
+
+#[tokio::test(start_paused = true)]
+async fn a_renewal_waits_behind_no_other_class() {
+    for class in [
+        RequestClass::Cancellation,
+        RequestClass::Admission,
+        RequestClass::Completion,
+        RequestClass::Progress,
+        RequestClass::Background,
+    ] {
+        serve_absent_keys();
+        let kv = kv_client_within(UNUSED_ADDRESS, KvSettings { rps: 100.0, ..limits(4) });
+        let mut reads = tokio::task::JoinSet::new();
+        for n in 0..WAITING_READS {
+            let kv = kv.clone();
+            reads.spawn(async move { kv.get(class, &format!("k{n}")).await });
+        }
+        reads.join_next().await;
+        let sent = Instant::now();
+        assert_eq!(kv.get(RequestClass::Renewal, LEADER).await, Ok(None));
+        assert!(sent.elapsed() <= RENEWAL_BOUND, "{:?} behind {class:?}", sent.elapsed());
+    }
+}
+
 #[tokio::test]
 async fn transactions_of_several_callers_are_batched_up_to_the_limit() {
     let (kv, server) = client_and_server(&[]).await;
