--- a/src/coordination/controller/leader_lifecycle.rs
+++ b/src/coordination/controller/leader_lifecycle.rs
@@ -48,6 +48,7 @@
     /// Stops the leader's state machine, if it runs: drops its in-memory state, fails the users'
     /// requests that wait for it, and redirects the workers whose replies are deferred.
     fn step_down(&mut self) {
+        self.snapshot_loader.stop();
         if self.leader.take().is_some() {
             tracing::info!("leadership lost; in-memory state dropped");
         }
--- a/src/coordination/controller/mod.rs
+++ b/src/coordination/controller/mod.rs
@@ -141,7 +141,7 @@
             leader: None,
             leadership: LeadershipPublisher::new(is_leader, lease_expiry, resigned_epoch),
             epoch_guard: EpochGuard::default(),
-            snapshot_loader: SnapshotLoader::new(&config, kv.clone(), events.clone()),
+            snapshot_loader: SnapshotLoader::new(&config, &kv, events.clone()),
             reconciliation: Reconciliation::new(&config, now, kv.clone(), events.clone()),
             routing: LeaderRouting::new(&config, &capacity, events.clone()),
             user_replies: UserReplies::new(capacity.terminal_states),
--- a/src/coordination/recovery/snapshot.rs
+++ b/src/coordination/recovery/snapshot.rs
@@ -172,25 +172,59 @@
 
 /// Adds all jobs with a live row to the snapshot; their records are read concurrently.
 async fn read_live_jobs(kv: &KvClient, value_kb: f64, snapshot: &mut Snapshot) -> Result<(), KvError> {
-    let mut reads = JoinSet::new();
+    let mut live_jobs = Vec::new();
     for row in kv.scan(LIVE_ROWS).await? {
-        let Some(job) = row.key.strip_prefix(LIVE_ROWS).and_then(JobId::parse) else {
-            tracing::error!(key = %row.key, "live row without a valid job id ignored");
-            continue;
-        };
-        let kv = kv.clone();
-        reads.spawn(async move {
-            let outcome = read_job(&kv, &job, row.version, value_kb).await?;
-            Ok::<_, KvError>((job, outcome))
-        });
+        match row.key.strip_prefix(LIVE_ROWS).and_then(JobId::parse) {
+            Some(job) => live_jobs.push((job, row.version)),
+            None => tracing::error!(key = %row.key, "live row without a valid job id ignored"),
+        }
     }
-    while let Some(read) = reads.join_next().await {
-        let (job, outcome) = read.map_err(|_| KvError::Unavailable)??;
+    let reads = live_jobs.into_iter().map(|(job, live_row_version)| {
+        let kv = kv.clone();
+        async move {
+            let outcome = read_job(&kv, &job, live_row_version, value_kb).await?;
+            Ok((job, outcome))
+        }
+    });
+    for (job, outcome) in read_concurrently(kv, reads).await? {
         snapshot.add_job(&job, outcome);
     }
     Ok(())
 }
 
+/// Runs reads concurrently, as many at a time as the request rate can serve without a long queue.
+/// The first error ends all of them.
+async fn read_concurrently<T, R>(kv: &KvClient, reads: impl Iterator<Item = R>) -> Result<Vec<T>, KvError>
+where
+    T: Send + 'static,
+    R: Future<Output = Result<T, KvError>> + Send + 'static,
+{
+    let limit = kv.concurrent_reads();
+    let mut in_flight = JoinSet::new();
+    let mut results = Vec::new();
+    for read in reads {
+        if in_flight.len() >= limit {
+            collect_next(&mut in_flight, &mut results).await?;
+        }
+        in_flight.spawn(read);
+    }
+    while !in_flight.is_empty() {
+        collect_next(&mut in_flight, &mut results).await?;
+    }
+    Ok(results)
+}
+
+/// Waits for the next read to end and adds its result.
+async fn collect_next<T: 'static>(
+    in_flight: &mut JoinSet<Result<T, KvError>>,
+    results: &mut Vec<T>,
+) -> Result<(), KvError> {
+    if let Some(read) = in_flight.join_next().await {
+        results.push(read.map_err(|_| KvError::Unavailable)??);
+    }
+    Ok(())
+}
+
 /// Reads the states of the dependencies of these jobs that are not among the jobs themselves.
 async fn read_dependencies_of(kv: &KvClient, jobs: &[JobSnapshot]) -> Result<DependencyStates, KvError> {
     let own_ids: HashSet<&JobId> = jobs.iter().map(|job| &job.record.spec.id).collect();
@@ -210,24 +244,18 @@
 ///
 /// If the store cannot be read.
 pub async fn read_dependency_states(kv: &KvClient, jobs: Vec<JobId>) -> Result<DependencyStates, KvError> {
-    let mut reads = JoinSet::new();
-    for job in jobs {
+    let reads = jobs.into_iter().map(|job| {
         let kv = kv.clone();
-        reads.spawn(async move {
+        async move {
             let state = match read_record(&kv, RequestClass::Admission, &job).await {
                 Ok(record) => DependencyState::of(record.as_ref()),
                 Err(KvError::Rejected) => DependencyState::Unreadable,
                 Err(error) => return Err(error),
             };
-            Ok((state, job))
-        });
-    }
-    let mut states = DependencyStates::default();
-    while let Some(read) = reads.join_next().await {
-        let (state, job) = read.map_err(|_| KvError::Unavailable)??;
-        states.insert(job, state);
-    }
-    Ok(states)
+            Ok((job, state))
+        }
+    });
+    Ok(read_concurrently(kv, reads).await?.into_iter().collect())
 }
 
 /// Reads a job's record; `None` if the job was never admitted.
--- a/src/storage/kv.rs
+++ b/src/storage/kv.rs
@@ -21,6 +21,7 @@
 pub use actor::start;
 use queue::{PendingTransaction, Request};
 
+use crate::numeric::whole_usize;
 use crate::protocol::cbor::{MapBuilder, decode, max_json_size};
 use crate::protocol::kv::{Change, Compare, Entry, Page, decode_entry, decode_page};
 use crate::settings::KvLimits;
@@ -31,6 +32,11 @@
 const WRITE_MARKER: &str = "by";
 /// Number of keys requested per page of a scan.
 const SCAN_PAGE_SIZE: usize = 500;
+/// Time in which the store's whole request rate could serve the reads started at the same time, in
+/// seconds.
+const READ_AHEAD_S: f64 = 0.1;
+/// Lower bound on the reads started at the same time.
+const MIN_CONCURRENT_READS: usize = 8;
 /// Bytes that a comparison takes in a transaction in addition to its key, rounded up.
 const COMPARE_OVERHEAD_BYTES: usize = 48;
 /// Bytes that a change takes in a transaction in addition to its key and value, rounded up.
@@ -96,9 +102,24 @@
     requests: mpsc::Sender<Request>,
     deadline: Duration,
     limits: watch::Receiver<KvLimits>,
+    /// Pause after which a read without a usable response is repeated; `None` to report it.
+    read_retry_pause: Option<Duration>,
 }
 
 impl KvClient {
+    /// Returns a client whose reads are repeated, after this pause, until there is a usable
+    /// response. The caller ends them by dropping the future.
+    #[must_use]
+    pub fn with_read_retries(&self, pause: Duration) -> Self {
+        KvClient { read_retry_pause: Some(pause), ..self.clone() }
+    }
+
+    /// Number of reads worth starting at the same time: enough to use the rate of the requests.
+    /// Further ones would only wait, and keep requests of the same class from being sent.
+    pub fn concurrent_reads(&self) -> usize {
+        whole_usize(self.limits().rps * READ_AHEAD_S).max(MIN_CONCURRENT_READS)
+    }
+
     /// The store's limits in force, as far as known.
     pub fn limits(&self) -> KvLimits {
         *self.limits.borrow()
@@ -137,13 +158,31 @@
         }
     }
 
+    /// Runs a read, and repeats it while it is unavailable if this client repeats reads.
+    async fn retrying<T, R>(&self, read: impl Fn() -> R) -> Result<T, KvError>
+    where
+        R: Future<Output = Result<T, KvError>>,
+    {
+        loop {
+            match (read().await, self.read_retry_pause) {
+                (Err(KvError::Unavailable), Some(pause)) => tokio::time::sleep(pause).await,
+                (result, _) => return result,
+            }
+        }
+    }
+
     /// Reads one key; `None` if it does not exist.
     ///
     /// # Errors
     ///
     /// [`KvError::Rejected`] if the store rejects the request, [`KvError::Unavailable`] if
-    /// there was no usable response. A response about another key is not usable.
+    /// there was no usable response and this client does not repeat reads. A response about
+    /// another key is not usable.
     pub async fn get(&self, class: RequestClass, key: &str) -> Result<Option<Entry>, KvError> {
+        self.retrying(|| self.get_once(class, key)).await
+    }
+
+    async fn get_once(&self, class: RequestClass, key: &str) -> Result<Option<Entry>, KvError> {
         let Some(value) = self.read(class, format!("/keys/{key}")).await? else { return Ok(None) };
         decode_entry(&value).ok().filter(|entry| entry.key == key).map(Some).ok_or(KvError::Unavailable)
     }
@@ -154,9 +193,13 @@
     /// # Errors
     ///
     /// [`KvError::Rejected`] if the store rejects the request, [`KvError::Unavailable`] if
-    /// there was no usable response. A page with keys of another prefix, or one that is
-    /// empty although more keys are to follow, is not usable.
+    /// there was no usable response and this client does not repeat reads. A page with keys of
+    /// another prefix, or one that is empty although more keys are to follow, is not usable.
     pub async fn read_page(&self, prefix: &str, from: &str, most: usize) -> Result<Page, KvError> {
+        self.retrying(|| self.read_page_once(prefix, from, most)).await
+    }
+
+    async fn read_page_once(&self, prefix: &str, from: &str, most: usize) -> Result<Page, KvError> {
         let after = if from.is_empty() { String::new() } else { format!("&from={from}") };
         let target = format!("/keys?starts={prefix}{after}&page={most}");
         let value = self.read(RequestClass::Background, target).await?.ok_or(KvError::Unavailable)?;
--- a/src/storage/kv/actor.rs
+++ b/src/storage/kv/actor.rs
@@ -133,7 +133,7 @@
     };
     let inboxes = Inboxes { renewals: renewal_inbox, requests: inbox, responses };
     tokio::spawn(actor.run(controllers, inboxes, is_leader));
-    KvClient { renewals, requests, deadline, limits }
+    KvClient { renewals, requests, deadline, limits, read_retry_pause: None }
 }
 
 impl Actor {
