Let the soak judge answers after the faults, with a backlog of unfinished jobs

Users ask the controllers in turn about each job until the end; a run lasts 80 s longer than the last fault, and one that ends too soon is not judged. Before, a run ended 30 s after the controllers' faults, while faults of the store, the cloud and the machines could still last, and asked at random.

SHEDTALLY_SOAK_BACKLOG (400) puts that many unfinished jobs into the store before the run. With any, the store has the rates of a large deployment, 600 requests and 100 changes a second, and the test double now charges them, which it did not.

The checker's tests: histories that break the rule by 0.2 s and others that do not by 0.2 s, and a controller that never answers although others do.

--- a/tests/soak/checker.rs
+++ b/tests/soak/checker.rs
@@ -29,6 +29,8 @@
     /// A valid submission was rejected, an accepted job was later reported as unknown or rejected,
     /// or requests about it stopped getting responses.
     Forgotten,
+    /// A controller did not answer about an accepted job for too long after all faults had ended.
+    Unanswered,
     /// A job that was never submitted was reported as existing, or was started.
     Invented,
     /// A job was reported done before all of its tasks had completed.
@@ -85,6 +87,11 @@
     pub start_in_flight: Duration,
     /// When the last faults of the controllers and their links ended.
     pub faults_end_at: Elapsed,
+    /// When the last fault of any component ended.
+    pub all_faults_end_at: Elapsed,
+    /// Each controller must answer about each accepted job within this time, from when all faults have
+    /// ended; users ask each controller about each job more often than that.
+    pub answer_within: Duration,
     /// End of the run.
     pub end: Elapsed,
     /// A job that was accepted at least this long before the end must get a response within this
@@ -105,6 +112,10 @@
     started: bool,
     /// When a user last received a response with the job's state.
     last_response_at: Elapsed,
+    /// The same for each controller that has sent one.
+    answered_at: BTreeMap<usize, Elapsed>,
+    /// The controllers that have left the job without an answer for too long.
+    silent_controllers: BTreeSet<usize>,
 }
 
 struct Checker<'a> {
@@ -118,6 +129,8 @@
     findings: Vec<Finding>,
     /// Number of task starts.
     task_starts: usize,
+    /// The controllers that have responded to any request.
+    controllers: BTreeSet<usize>,
 }
 
 /// Returns all findings in a history. Its entries must be sorted by time.
@@ -130,6 +143,7 @@
         ancestors: ancestors(jobs),
         findings: Vec::new(),
         task_starts: 0,
+        controllers: BTreeSet::new(),
     };
     for Entry { at, event } in history {
         checker.handle(*at, event);
@@ -160,8 +174,7 @@
     fn handle(&mut self, at: Elapsed, event: &Event) {
         match event {
             Event::ResponseReceived { job, request, sent_at, controller, status, state } => {
-                let response = format!("c-{controller} responded {status} {state:?} to {request:?}");
-                self.handle_response(at, *job, *request, *sent_at, (*status, *state), &response);
+                self.handle_response(at, *job, *request, *sent_at, *controller, (*status, *state));
             }
             Event::CancelRequested { job } => {
                 self.observed_jobs[*job].cancel_requested_at.get_or_insert(at);
@@ -334,11 +347,14 @@
         job: usize,
         request: UserRequest,
         sent_at: Elapsed,
+        controller: usize,
         status_and_state: (u16, Option<JobState>),
-        response: &str,
     ) {
+        let (status, state) = status_and_state;
+        let response = format!("c-{controller} responded {status} {state:?} to {request:?}");
         let description =
             format!("{}: {response}, request sent at {:.2} s", self.name(job), sent_at.as_secs_f64());
+        self.controllers.insert(controller);
         let was_accepted =
             self.observed_jobs[job].accepted_at.is_some_and(|accepted_at| accepted_at < sent_at);
         match status_and_state {
@@ -347,15 +363,31 @@
                 self.add_finding(Rule::Forgotten, at, description);
             }
             (200 | 201, Some(state)) => {
+                self.check_answer_gap(at, job, controller);
                 let observed = &mut self.observed_jobs[job];
                 observed.accepted_at.get_or_insert(at);
                 observed.last_response_at = at;
+                observed.answered_at.insert(controller, at);
                 self.check_state(at, job, request, sent_at, state, description);
             }
             _ => {}
         }
     }
 
+    /// Checks that a controller that answers about an accepted job, or has not by the end of the run,
+    /// did so in time since its last answer, the acceptance and the end of all faults.
+    fn check_answer_gap(&mut self, at: Elapsed, job: usize, controller: usize) {
+        let observed = &mut self.observed_jobs[job];
+        let Some(accepted_at) = observed.accepted_at else { return };
+        let answered_at = observed.answered_at.get(&controller).copied().unwrap_or(accepted_at);
+        let since = answered_at.max(self.parameters.all_faults_end_at);
+        let bound = self.parameters.answer_within + self.parameters.max_lag;
+        if at > since + bound && observed.silent_controllers.insert(controller) {
+            let description = format!("{}: no answer of c-{controller} since {since:?}", self.name(job));
+            self.add_finding(Rule::Unanswered, at, description);
+        }
+    }
+
     fn check_state(
         &mut self,
         at: Elapsed,
@@ -408,6 +440,11 @@
         if self.task_starts == 0 {
             self.add_finding(Rule::NothingRan, end, "no task was started".into());
         }
+        for job in 0..self.jobs.len() {
+            for controller in self.controllers.clone() {
+                self.check_answer_gap(end, job, controller);
+            }
+        }
         let settled_by = end.saturating_sub(self.parameters.settle_time);
         for job in 0..self.jobs.len() {
             let observed = &self.observed_jobs[job];
--- a/tests/soak/checker_tests.rs
+++ b/tests/soak/checker_tests.rs
@@ -16,6 +16,8 @@
         cancel_within: seconds(16.0),
         start_in_flight: seconds(4.0),
         faults_end_at: seconds(60.0),
+        all_faults_end_at: seconds(65.0),
+        answer_within: seconds(75.0),
         end: seconds(100.0),
         settle_time: seconds(30.0),
         max_lag: seconds(0.4),
@@ -38,6 +40,7 @@
         dependencies: dependencies.to_vec(),
         submit_at: seconds(0.0),
         cancel_after: None,
+        is_in_backlog: false,
     }
 }
 
@@ -299,3 +302,42 @@
     assert_does_not_find(Rule::ProcessEnded, &chain(), &harmless);
     assert_does_not_find(Rule::InvariantViolated, &chain(), &harmless);
 }
+
+/// A history in which a controller answers polls of a job at these times and no others.
+fn answered_at(times: &[f64]) -> Vec<TimedEvent> {
+    let queued = |at: &f64| (*at, response(0, UserRequest::Poll, at - 0.1, 200, Some(JobState::Queued)));
+    let mut history: Vec<TimedEvent> = times.iter().map(queued).collect();
+    history.push((2.0, started(0, 0, "vm-1")));
+    history.sort_by(|a, b| a.0.total_cmp(&b.0));
+    history
+}
+
+#[test]
+fn a_job_without_an_answer_for_too_long_after_all_faults_is_reported() {
+    let jobs = vec![job(0, &[])];
+    // All faults end at 65 s; 75 s and the allowed lag later is 140.4 s.
+    assert_finds(Rule::Unanswered, &jobs, &answered_at(&[1.0, 140.6]));
+    assert_does_not_find(Rule::Unanswered, &jobs, &answered_at(&[1.0, 140.2]));
+    assert_finds(Rule::Unanswered, &jobs, &answered_at(&[1.0, 70.0, 145.6]));
+    assert_does_not_find(Rule::Unanswered, &jobs, &answered_at(&[1.0, 70.0, 145.2]));
+}
+
+#[test]
+fn a_controller_that_never_answers_about_a_job_is_reported_although_others_do() {
+    let from = |controller, at: f64, status, state| {
+        let request = UserRequest::Poll;
+        (at, Event::ResponseReceived { job: 0, request, sent_at: seconds(at), controller, status, state })
+    };
+    let answer_of_0 = |at| from(0, at, 200, Some(JobState::Queued));
+    let refusal_of_1 = |at| from(1, at, 503, None);
+    let jobs = vec![job(0, &[])];
+    let until = |end: f64| {
+        let history = [answer_of_0(1.0), refusal_of_1(70.0), answer_of_0(90.0), answer_of_0(end - 0.1)];
+        let entries: Vec<Entry> =
+            history.into_iter().map(|(at, event)| Entry { at: seconds(at), event }).collect();
+        let parameters = CheckParameters { end: seconds(end), ..parameters() };
+        check(&jobs, &parameters, &entries).into_iter().map(|finding| finding.rule).collect::<Vec<_>>()
+    };
+    assert!(until(140.6).contains(&Rule::Unanswered));
+    assert!(!until(140.2).contains(&Rule::Unanswered));
+}
--- a/tests/soak/jobs.rs
+++ b/tests/soak/jobs.rs
@@ -1,11 +1,13 @@
 //! The jobs that the users of a run submit. They are determined by the seed.
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use ciborium::value::Value;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use shedtally::protocol::cbor::{MapBuilder, text_array};
+use shedtally::protocol::jobs::JobSpec;
+use shedtally::storage::records::JobRecord;
 
 /// CPUs of every machine.
 pub const MACHINE_CPUS: f64 = 8.0;
@@ -46,6 +48,8 @@
     pub submit_at: Duration,
     /// How long after its acceptance its user cancels it, if at all.
     pub cancel_after: Option<Duration>,
+    /// Whether it was accepted before the run: its record is in the key-value store.
+    pub is_in_backlog: bool,
 }
 
 impl Job {
@@ -81,7 +85,53 @@
     }
 }
 
-/// Plans the jobs of a run for a fleet of this many workers, in the order of submission.
+/// Jobs of the backlog that depend on the same job.
+const BACKLOG_GROUP: u64 = 50;
+/// The users of the backlog send their first requests within this time.
+const BACKLOG_FIRST_REQUEST_S: f64 = 5.0;
+/// Longer than any run.
+const ENDLESS: Duration = Duration::from_secs(24 * 3600);
+
+/// Appends the jobs that are accepted and unfinished when the run begins: groups of jobs that depend
+/// on one that does not end during the run.
+pub fn append_backlog(jobs: &mut Vec<Job>, seed: u64, count: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed ^ 0xbac);
+    let mut first_of_group = jobs.len();
+    for number in 0..count {
+        let is_first = number % BACKLOG_GROUP == 0;
+        if is_first {
+            first_of_group = jobs.len();
+        }
+        jobs.push(Job {
+            id: format!("job-{:06}", jobs.len()),
+            team: OTHER_TEAM,
+            tasks: 1,
+            cpus: 0.5,
+            run: ENDLESS,
+            is_service: false,
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot: true,
+            dependencies: if is_first { Vec::new() } else { vec![first_of_group] },
+            submit_at: Duration::from_secs_f64(rng.random_range(0.0..BACKLOG_FIRST_REQUEST_S)),
+            cancel_after: None,
+            is_in_backlog: true,
+        });
+    }
+}
+
+/// The records of the jobs of the backlog.
+pub fn backlog_records(jobs: &[Job]) -> Vec<JobRecord> {
+    let submitted_ms =
+        SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64);
+    let backlog = jobs.iter().filter(|job| job.is_in_backlog);
+    let specs = backlog.map(|job| JobSpec::decode(&job.encode_submission(jobs)));
+    specs.map(|spec| JobRecord::new(spec.expect("a valid description"), submitted_ms)).collect()
+}
+
+/// Plans the jobs that users submit during a run, for a fleet of this many workers, in the order of
+/// submission.
 pub fn plan(seed: u64, workers: u64, duration: Duration) -> Vec<Job> {
     let mut rng = SmallRng::seed_from_u64(seed ^ 0x10b5);
     // A few jobs a second for two dozen machines; the rate grows with the fleet.
@@ -113,6 +163,7 @@
         dependencies: random_dependencies(rng, earlier, is_service),
         submit_at: Duration::from_secs_f64(at),
         cancel_after: None,
+        is_in_backlog: false,
     };
     match rng.random_range(0..12) {
         0 => job.one_zone = true,
--- a/tests/soak/kv_server.rs
+++ b/tests/soak/kv_server.rs
@@ -15,14 +15,18 @@
 use rand::{Rng, SeedableRng};
 use shedtally::protocol::cbor::{Fields, Malformed, MapBuilder, decode};
 use shedtally::settings::KvLimits;
+use shedtally::storage::rate_limit::TokenBucket;
+use shedtally::storage::records::{JobRecord, encode_row, job_record_key, live_row_key};
 use shedtally::transport::codec::{Request, Response};
 // `store` imports these through `super`.
 use shedtally::{protocol, settings};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
-use self::store::{CommitOutcome, KvStore, MAX_PAGE, StatusAndBody, error_response, lease_in, query_field};
-use super::history::{Event, Recorder};
+use self::store::{
+    CommitOutcome, KvStore, MAX_PAGE, StatusAndBody, Stored, error_response, lease_in, query_field,
+};
+use super::history::{Event, JobState, Recorder};
 use super::http::{listen, response};
 
 /// Maximum size of a value, in KiB.
@@ -35,6 +39,8 @@
 const CONNECTIONS: usize = 256;
 /// Interval for checking leases and waiting watches; leases may expire late by this much.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
+/// Longest delay of a delayed or duplicated transaction.
+const MAX_COMMIT_DELAY: Duration = Duration::from_secs(6);
 /// Delay before a response when there is no fault, in seconds.
 const RESPONSE_DELAY_S: f64 = 0.002;
 
@@ -55,6 +61,47 @@
     DelayedResponses { share: f64, duration: Duration },
 }
 
+impl KvFault {
+    /// How long the fault lasts, with the transactions that it delays.
+    pub fn duration(&self) -> Duration {
+        match *self {
+            KvFault::Outage { duration }
+            | KvFault::Refuse { duration, .. }
+            | KvFault::LostResponses { duration, .. }
+            | KvFault::DelayedResponses { duration, .. } => duration,
+            KvFault::DelayedWrites { duration, .. } | KvFault::DuplicatedWrites { duration, .. } => {
+                duration + MAX_COMMIT_DELAY
+            }
+        }
+    }
+}
+
+/// Requests, and puts and deletes, that the store carries out per second.
+#[derive(Debug, Clone, Copy)]
+pub struct KvRates {
+    /// Requests per second.
+    pub requests: f64,
+    /// Puts and deletes per second.
+    pub writes: f64,
+}
+
+impl KvRates {
+    /// Rates that small runs do not reach.
+    const AMPLE: KvRates = KvRates { requests: 4000.0, writes: 1500.0 };
+    /// Rates of a large deployment.
+    const LARGE_DEPLOYMENT: KvRates = KvRates { requests: 600.0, writes: 100.0 };
+
+    /// The rates of a run that begins with this many unfinished jobs.
+    pub fn of_backlog(jobs: u64) -> Self {
+        if jobs == 0 { KvRates::AMPLE } else { KvRates::LARGE_DEPLOYMENT }
+    }
+
+    /// Full buckets with bursts of one second's worth.
+    fn buckets(self, now: Instant) -> [TokenBucket; 2] {
+        [self.requests, self.writes].map(|rate| TokenBucket::new(rate, rate, now))
+    }
+}
+
 enum Message {
     Request {
         controller: usize,
@@ -101,6 +148,8 @@
     rng: SmallRng,
     recorder: Recorder,
     messages: mpsc::UnboundedSender<Message>,
+    requests: TokenBucket,
+    writes: TokenBucket,
 }
 
 /// Handle of the key-value store.
@@ -112,12 +161,18 @@
 }
 
 impl KvServer {
-    /// Starts the store, with a listener for each controller.
+    /// Starts the store with the records of these jobs, and a listener for each controller.
     ///
     /// # Errors
     ///
     /// If no port is free.
-    pub async fn start(seed: u64, controllers: usize, recorder: Recorder) -> std::io::Result<Self> {
+    pub async fn start(
+        seed: u64,
+        controllers: usize,
+        rates: KvRates,
+        backlog: &[JobRecord],
+        recorder: Recorder,
+    ) -> std::io::Result<Self> {
         let (messages, mut inbox) = mpsc::unbounded_channel();
         let mut addresses = Vec::new();
         for controller in 0..controllers {
@@ -127,7 +182,8 @@
             };
             addresses.push(listen(CONNECTIONS, MAX_BODY, forward).await?.address);
         }
-        let mut actor = KvActor::new(seed, controllers, recorder, messages.clone());
+        let mut actor = KvActor::new(seed, controllers, rates, recorder, messages.clone());
+        backlog.iter().for_each(|record| actor.store_record(record));
         tokio::spawn(async move {
             let mut interval = tokio::time::interval(TICK_INTERVAL);
             loop {
@@ -160,6 +216,12 @@
     response(503, &MapBuilder::new().build())
 }
 
+/// Number of puts and deletes in the body of a commit; 0 if it is malformed.
+fn number_of_changes(body: &[u8]) -> f64 {
+    let Ok(body) = decode(body) else { return 0.0 };
+    Fields::of(&body).and_then(|fields| fields.list("apply")).map_or(0.0, |changes| changes.len() as f64)
+}
+
 fn malformed() -> StatusAndBody {
     error_response("malformed")
 }
@@ -168,10 +230,12 @@
     fn new(
         seed: u64,
         controllers: usize,
+        rates: KvRates,
         recorder: Recorder,
         messages: mpsc::UnboundedSender<Message>,
     ) -> Self {
         let now = Instant::now();
+        let [requests, writes] = rates.buckets(now);
         let no_fault = PartialFault { share: 0.0, until: now };
         let limits =
             KvLimits { rps: f64::INFINITY, write_rps: f64::INFINITY, value_kb: VALUE_KB, txn_ops: TXN_OPS };
@@ -188,9 +252,31 @@
             rng: SmallRng::seed_from_u64(seed ^ 0x57a7e),
             recorder,
             messages,
+            requests,
+            writes,
         }
     }
 
+    /// Stores the record and the live row of an unfinished job.
+    fn store_record(&mut self, record: &JobRecord) {
+        let id = &record.spec.id;
+        let row = encode_row(JobState::Queued);
+        for (key, value) in [(job_record_key(id), record.encode(VALUE_KB)), (live_row_key(id), row)] {
+            self.store.entries.insert(key, Stored { value, version: self.store.revision, lease: None });
+        }
+    }
+
+    /// Whether the rates allow the request, which is then charged.
+    fn is_within_rates(&mut self, now: Instant, request: &Request) -> bool {
+        let changes = if request.target == "/commit" { number_of_changes(&request.body) } else { 0.0 };
+        let allowed = self.requests.allows(now, 1.0, 0.0) && self.writes.allows(now, changes, 0.0);
+        if allowed {
+            self.requests.spend(1.0);
+            self.writes.spend(changes);
+        }
+        allowed
+    }
+
     fn handle(&mut self, message: Message) {
         let now = Instant::now();
         match message {
@@ -248,12 +334,16 @@
             let _ = reply.send(unavailable());
             return;
         }
+        if !self.is_within_rates(now, &request) {
+            let _ = reply.send(response(429, &MapBuilder::new().build()));
+            return;
+        }
         let is_write = request.target == "/commit";
         if is_write && self.is_affected(now, self.delayed_writes) {
-            return self.schedule_commit(controller, request.body, 1.0..6.0);
+            return self.schedule_commit(controller, request.body, 1.0..MAX_COMMIT_DELAY.as_secs_f64());
         }
         if is_write && self.is_affected(now, self.duplicated_writes) {
-            self.schedule_commit(controller, request.body.clone(), 0.01..6.0);
+            self.schedule_commit(controller, request.body.clone(), 0.01..MAX_COMMIT_DELAY.as_secs_f64());
         }
         let (status, body) = self.execute(now, controller, &request).unwrap_or_else(|_| malformed());
         if self.is_affected(now, self.lost_responses) {
--- a/tests/soak/options.rs
+++ b/tests/soak/options.rs
@@ -10,6 +10,9 @@
 pub const FIRST_SEED: &str = "SHEDTALLY_SOAK_FIRST_SEED";
 /// Variable: number of machines in the fleet.
 pub const WORKERS: &str = "SHEDTALLY_SOAK_WORKERS";
+/// Variable: number of unfinished jobs that are in the key-value store when the run begins. With any,
+/// the store's rates are those of a large deployment.
+pub const BACKLOG: &str = "SHEDTALLY_SOAK_BACKLOG";
 /// Variable: for how many seconds new faults are planned. A run takes longer: it also waits for the
 /// faults to end and for the cluster to recover.
 pub const SECONDS: &str = "SHEDTALLY_SOAK_SECONDS";
@@ -27,6 +30,8 @@
     pub seeds: u64,
     /// Number of machines in the fleet.
     pub workers: u64,
+    /// Number of unfinished jobs in the key-value store when the run begins.
+    pub backlog: u64,
     /// For how many seconds new faults are planned.
     pub seconds: u64,
     /// Number of seeds to run concurrently.
@@ -74,6 +79,7 @@
             first_seed: read(FIRST_SEED, 1, 0..=u64::MAX / 2)?,
             seeds: read(SEEDS, 2, 1..=10_000)?,
             workers: read(WORKERS, 24, 4..=400)?,
+            backlog: read(BACKLOG, 400, 0..=10_000)?,
             seconds: read(SECONDS, 20, 5..=600)?,
             at_once: read(AT_ONCE, 2, 1..=8)?,
         })
@@ -91,6 +97,7 @@
         (FIRST_SEED, "x"),
         (SEEDS, "0"),
         (WORKERS, "100000"),
+        (BACKLOG, "10001"),
         (SECONDS, "-1"),
         (AT_ONCE, "1.5"),
         (SECONDS, ""),
--- a/tests/soak/processes.rs
+++ b/tests/soak/processes.rs
@@ -9,7 +9,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 
 use super::jobs::{LIMITED_SHARE, LIMITED_TEAM, MACHINE_CPUS, ZONES};
-use super::kv_server::{KvServer, TXN_OPS, VALUE_KB};
+use super::kv_server::{KvRates, KvServer, TXN_OPS, VALUE_KB};
 use super::network::{Delivery, Link};
 use super::workers::{HEARTBEAT_INTERVAL, LEASE};
 use super::{CANCEL_WITHIN, cloud};
@@ -51,6 +51,7 @@
     program: PathBuf,
     folder: PathBuf,
     workers: u64,
+    rates: KvRates,
     /// Whether an objective requires starts within less than a heartbeat interval, so that
     /// controllers defer responses to heartbeats (long polling).
     latency_sensitive: bool,
@@ -68,6 +69,8 @@
     pub count: usize,
     /// Number of machines in the fleet.
     pub workers: u64,
+    /// Rates of the key-value store.
+    pub rates: KvRates,
     /// Whether an objective requires starts within less than a heartbeat interval.
     pub latency_sensitive: bool,
     /// Folder for settings and logs.
@@ -104,6 +107,7 @@
             program: setup.program.to_owned(),
             folder: setup.folder.to_owned(),
             workers: setup.workers,
+            rates: setup.rates,
             latency_sensitive: setup.latency_sensitive,
         })
     }
@@ -181,9 +185,11 @@
              [[cluster.teams]]\nname = \"blue\"\ncpus = 0.0\ncpus_max = 0.0\n\
              {objectives}\
              [cluster.workers]\nreport_s = {report}\nlease_s = {lease}\ncancel_s = {cancel}\n\
-             [cluster.state]\nrps = 4000.0\nwrite_rps = 1500.0\nvalue_kb = {VALUE_KB:.1}\ntxn_ops = {TXN_OPS}\n\
+             [cluster.state]\nrps = {rps:.1}\nwrite_rps = {write_rps:.1}\nvalue_kb = {VALUE_KB:.1}\ntxn_ops = {TXN_OPS}\n\
              [cluster.cloud]\nrps = 20.0\nlist_lag_s = {lag}\n\
              [cluster.quota]\ncore_share = 0.5\nram_mb = 256.0\nsockets = {sockets}\n",
+            rps = self.rates.requests,
+            write_rps = self.rates.writes,
             zone = zone_of(index),
             peers = peers_settings.collect::<String>(),
             cloud = controller.cloud.address,
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -16,7 +16,7 @@
 use super::cloud::Cloud;
 use super::history::{Entry, Event, JobState, Recorder, UserRequest};
 use super::jobs::{self, Job, LIMITED_SHARE, MACHINE_CPUS};
-use super::kv_server::{KvFault, KvServer};
+use super::kv_server::{KvFault, KvRates, KvServer};
 use super::network::Delivery;
 use super::options::{Options, PROGRAM};
 use super::processes::{ClusterSetup, Controllers};
@@ -25,9 +25,10 @@
 use super::workers::WorkerContext;
 use super::{CANCEL_WITHIN, http};
 
-/// Time from the end of the controllers' faults to the end of the run. It covers the time limit of
-/// a cancellation, a failover, and establishing the state of suspected machines.
-const RECOVERY_TIME: Duration = Duration::from_secs(30);
+/// Each controller must answer about each accepted job within this time, once all faults have ended.
+const ANSWER_WITHIN: Duration = Duration::from_secs(75);
+/// Time from the end of all faults to the end of the run.
+const RECOVERY_TIME: Duration = Duration::from_secs(80);
 /// The last new jobs are planned this long before the end of the period for which faults are
 /// planned.
 const SUBMISSION_END_MARGIN: Duration = Duration::from_secs(2);
@@ -140,7 +141,9 @@
     let begin = Instant::now();
     let (recorder, recorded) = Recorder::new(begin);
     let faults_begin_until = Duration::from_secs(options.seconds);
-    let jobs = jobs::plan(seed, options.workers, faults_begin_until.saturating_sub(SUBMISSION_END_MARGIN));
+    let mut jobs =
+        jobs::plan(seed, options.workers, faults_begin_until.saturating_sub(SUBMISSION_END_MARGIN));
+    jobs::append_backlog(&mut jobs, seed, options.backlog);
     let mut cluster = Cluster::start(seed, options, &folder, &jobs, recorder.clone()).await?;
     let (collector, triggers) = start_collector(recorded);
     let lag = measure_lag();
@@ -150,7 +153,8 @@
     cluster.wait_until(begin + faults_begin_until + FAULT_END_MARGIN).await?;
     cluster.controllers.recover().await?;
     let faults_end_at = recorder.now();
-    cluster.wait_until(Instant::now() + RECOVERY_TIME).await?;
+    let all_faults_end_at = faults_end_at.max(cluster.last_fault_end - begin);
+    cluster.wait_until(begin + all_faults_end_at + RECOVERY_TIME).await?;
     status_polls.abort();
     let end = recorder.now();
     let controllers = cluster.controllers.count();
@@ -162,12 +166,17 @@
         cancel_within: CANCEL_WITHIN,
         start_in_flight: START_IN_FLIGHT,
         faults_end_at,
+        all_faults_end_at,
+        answer_within: ANSWER_WITHIN,
         end,
         settle_time: SETTLE_TIME,
         max_lag: MAX_LAG,
     };
     let findings = checker::check(&jobs, &parameters, &history);
     let verdict = match findings.is_empty() {
+        _ if end < all_faults_end_at + ANSWER_WITHIN + MAX_LAG => {
+            Verdict::NotJudged("the run ended too soon after the last fault".into())
+        }
         _ if lag > MAX_LAG => Verdict::NotJudged(format!("the harness's timers were late by {lag:?}")),
         true => Verdict::Passed,
         false => Verdict::Failed(findings),
@@ -343,6 +352,8 @@
     recorder: Recorder,
     /// When each active fault ends, and the action that ends it.
     fault_ends: Vec<(Instant, FaultEnd)>,
+    /// When the last fault so far ends, whoever ends it.
+    last_fault_end: Instant,
 }
 
 /// An action that ends a fault. The index, if any, is that of the affected controller.
@@ -365,12 +376,15 @@
         recorder: Recorder,
     ) -> std::io::Result<Self> {
         let count = if seed % 3 == 2 { 5 } else { 3 };
-        let kv = KvServer::start(seed, count, recorder.clone()).await?;
+        let rates = KvRates::of_backlog(options.backlog);
+        let records = jobs::backlog_records(jobs);
+        let kv = KvServer::start(seed, count, rates, &records, recorder.clone()).await?;
         let program = std::env::var_os(PROGRAM).map(PathBuf::from);
         let program = program.unwrap_or_else(|| PathBuf::from(env!("CARGO_BIN_EXE_shedtally")));
         let setup = ClusterSetup {
             count,
             workers: options.workers,
+            rates,
             latency_sensitive: seed % 2 == 1,
             folder,
             program: &program,
@@ -396,7 +410,15 @@
             accepted: jobs.iter().map(|_| watch::channel(false).0).collect(),
             seed,
         }));
-        Ok(Cluster { controllers, kv, cloud, mass_cancellation, recorder, fault_ends: Vec::new() })
+        Ok(Cluster {
+            controllers,
+            kv,
+            cloud,
+            mass_cancellation,
+            recorder,
+            fault_ends: Vec::new(),
+            last_fault_end: Instant::now(),
+        })
     }
 
     /// Waits until the given time. Meanwhile, ends faults that are due and restarts processes that
@@ -455,6 +477,7 @@
             let leader = self.leader().await;
             self.recorder.record(Event::Fault { description: format!("{fault:?}, c-{leader} leads") });
             self.begin_fault(*fault, leader, responder);
+            self.last_fault_end = self.last_fault_end.max(Instant::now() + fault.duration());
         }
         Ok(())
     }
--- a/tests/soak/schedule.rs
+++ b/tests/soak/schedule.rs
@@ -56,6 +56,26 @@
     CancelMany { share: f64 },
 }
 
+impl Fault {
+    /// How long the fault lasts after its beginning, with the delayed messages that it causes.
+    pub fn duration(&self) -> Duration {
+        match *self {
+            Fault::Kill { restart_after, .. } | Fault::KillAll { restart_after } => restart_after,
+            Fault::Stall { duration, .. }
+            | Fault::CutKv { duration, .. }
+            | Fault::CutPeers { duration, .. }
+            | Fault::CutWorkers { duration, .. }
+            | Fault::WorkerResponses { duration, .. }
+            | Fault::DelayPeers { duration, .. }
+            | Fault::RefuseKv { duration, .. }
+            | Fault::CloudOutage { duration } => duration,
+            Fault::KvStore(fault) => fault.duration(),
+            Fault::Machines { fault, .. } => fault.duration(),
+            Fault::TerminateMachines { .. } | Fault::CancelMany { .. } => Duration::ZERO,
+        }
+    }
+}
+
 /// The kind of response that a fault waits for after its planned time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Trigger {
--- a/tests/soak/users.rs
+++ b/tests/soak/users.rs
@@ -113,16 +113,17 @@
     /// Polls the job, or sometimes resubmits it, until the end of the run, even after it is terminal.
     async fn poll(mut self) {
         let mut known_terminal = None;
-        loop {
+        // In turn, so that each controller is asked about each job.
+        for controller in (0..self.users.controllers.len()).cycle().skip(self.job) {
             let resubmits = self.rng.random_bool(0.06);
             let request = if resubmits { UserRequest::Submit } else { UserRequest::Poll };
-            let (_, state) = self.send_to_any_controller(request).await;
+            let (_, state) = self.send_request(request, controller).await;
             if state.is_some_and(JobState::is_terminal) && known_terminal != state {
                 known_terminal = state;
                 self.query_all_controllers();
             }
-            let interval = if known_terminal.is_some() { 2.0..5.0 } else { 0.3..1.3 };
-            self.pause(interval).await;
+            let is_urgent = known_terminal.is_none() && !self.planned_job().is_in_backlog;
+            self.pause(if is_urgent { 0.3..1.3 } else { 2.0..5.0 }).await;
         }
     }
 
--- a/tests/soak/workers.rs
+++ b/tests/soak/workers.rs
@@ -23,6 +23,8 @@
 /// A worker kills its tasks and starts a new incarnation if more than this has passed since it sent
 /// the last heartbeat that renewed its lease.
 pub const LEASE: Duration = Duration::from_secs(8);
+/// Longest delay of a copy of a heartbeat: well over a lease.
+const MAX_HEARTBEAT_COPY_DELAY: Duration = Duration::from_secs(12);
 /// Workers drop responses that take longer than this.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Minimum interval before a heartbeat that is sent because of a change.
@@ -54,6 +56,18 @@
     DuplicatedHeartbeats { share: f64, duration: Duration },
 }
 
+impl MachineFault {
+    /// How long the fault lasts, with the copies of heartbeats that it delays.
+    pub fn duration(&self) -> Duration {
+        match *self {
+            MachineFault::OneWayPartition { duration }
+            | MachineFault::HeartbeatsLost { duration }
+            | MachineFault::Hang { duration } => duration,
+            MachineFault::DuplicatedHeartbeats { duration, .. } => duration + MAX_HEARTBEAT_COPY_DELAY,
+        }
+    }
+}
+
 enum Message {
     /// A pushed command or, without a body, a request for the worker's status.
     Pushed {
@@ -353,7 +367,8 @@
         if now < self.duplicated_heartbeats.until && self.rng.random_bool(self.duplicated_heartbeats.share) {
             let controllers = &self.context.controllers;
             let other = controllers[self.rng.random_range(0..controllers.len())];
-            let after = Duration::from_secs_f64(self.rng.random_range(0.5..LEASE.as_secs_f64() * 1.5));
+            let after =
+                Duration::from_secs_f64(self.rng.random_range(0.5..MAX_HEARTBEAT_COPY_DELAY.as_secs_f64()));
             let copy = body.clone();
             tokio::spawn(async move {
                 tokio::time::sleep(after).await;
