Count and log what would have told the causes of the incident apart

The incident left no logs, and what there was would not have told. status gains, for the requests to the state service by class: queued now, age of the oldest, sent, sent for callers that had left, longest wait; and answers about jobs by status. The statistics are published once a second; a request costs two clock readings and a few additions.

Not counted: the reason of each answer beside its status, connections by kind.

--- a/src/coordination/controller/leader_lifecycle.rs
+++ b/src/coordination/controller/leader_lifecycle.rs
@@ -72,6 +72,7 @@
     }
 
     fn start_leading(&mut self, now: Instant, epoch: u64, lease_expiry: Instant, snapshot: Snapshot) {
+        let reading = self.snapshot_loader.finish();
         if let Err(violation) = self.epoch_guard.claim(epoch) {
             tracing::error!(epoch, %violation, "epoch resigned");
             return self.leadership.resign(epoch);
@@ -81,6 +82,7 @@
             jobs = snapshot.jobs.len(),
             node_pools = snapshot.node_pools.len(),
             unreadable = snapshot.unreadable.len(),
+            reading_ms = whole_ms(reading),
             lease_left_ms = whole_ms(lease_expiry.saturating_duration_since(now)),
             "snapshot read"
         );
--- a/src/coordination/controller/readiness.rs
+++ b/src/coordination/controller/readiness.rs
@@ -47,7 +47,12 @@
         let gap_is_short = now < self.leader_known_at + self.max_leader_gap;
         let stays_ready = was_ready && gap_is_short && !leader.is_isolated && !leader.is_lost;
         let ready = leader.is_known || stays_ready;
-        self.is_ready.send_if_modified(|published| std::mem::replace(published, ready) != ready);
+        let changed =
+            self.is_ready.send_if_modified(|published| std::mem::replace(published, ready) != ready);
+        if changed {
+            let LeaderVisibility { is_known, is_lost, is_isolated } = leader;
+            tracing::info!(ready, is_known, is_lost, is_isolated, "readiness changed");
+        }
     }
 
     /// Whether the controller is ready.
--- a/src/coordination/controller/snapshot_loader.rs
+++ b/src/coordination/controller/snapshot_loader.rs
@@ -4,10 +4,12 @@
 
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
+use tokio::time::Instant;
 
 use crate::coordination::config::Config;
 use crate::coordination::controller::events::InternalEvent;
 use crate::coordination::recovery::snapshot::read_snapshot;
+use crate::numeric::whole_ms;
 use crate::storage::kv::KvClient;
 
 /// The leader's lease divided by this is the pause before a failed read is repeated. Without a
@@ -23,8 +25,18 @@
     /// Maximum size of a value in the store, in KiB.
     value_kb: f64,
     retry_pause: Duration,
-    /// The task that reads the snapshot of the latest epoch, ended or not.
-    reading: Option<AbortHandle>,
+    lease: Duration,
+    /// The snapshot that is being read.
+    reading: Option<Reading>,
+}
+
+/// A snapshot that is being read.
+struct Reading {
+    task: AbortHandle,
+    epoch: u64,
+    started_at: Instant,
+    /// When it is logged that the snapshot is not complete yet.
+    log_at: Instant,
 }
 
 impl SnapshotLoader {
@@ -36,6 +48,7 @@
             events,
             value_kb: config.settings.cluster.kv.value_kb,
             retry_pause,
+            lease: config.tuning.lease,
             reading: None,
         }
     }
@@ -46,20 +59,35 @@
         self.stop();
         let (kv, events) = (self.kv.clone(), self.events.clone());
         let (value_kb, retry_pause) = (self.value_kb, self.retry_pause);
-        let reading = tokio::spawn(async move {
+        let started_at = Instant::now();
+        let task = tokio::spawn(async move {
             let snapshot = read_snapshot(&kv, value_kb).await.ok();
             if snapshot.is_none() {
                 tokio::time::sleep(retry_pause).await;
             }
             let _ = events.send(InternalEvent::SnapshotRead { epoch, snapshot }).await;
         });
-        self.reading = Some(reading.abort_handle());
+        let (task, log_at) = (task.abort_handle(), started_at + self.lease);
+        self.reading = Some(Reading { task, epoch, started_at, log_at });
+    }
+
+    /// Records that the snapshot is complete; returns how long reading it has taken.
+    pub(super) fn finish(&mut self) -> Duration {
+        self.reading.take().map_or(Duration::ZERO, |reading| reading.started_at.elapsed())
+    }
+
+    /// Logs after each lease duration that the leader still has no state.
+    pub(super) fn log_if_slow(&mut self, now: Instant) {
+        let Some(reading) = self.reading.as_mut().filter(|reading| now >= reading.log_at) else { return };
+        reading.log_at = now + self.lease;
+        let reading_ms = whole_ms(now - reading.started_at);
+        tracing::error!(epoch = reading.epoch, reading_ms, "leader without state, snapshot incomplete");
     }
 
     /// Stops reading, since the epoch is over.
     pub(super) fn stop(&mut self) {
         if let Some(reading) = self.reading.take() {
-            reading.abort();
+            reading.task.abort();
         }
     }
 }
--- a/src/coordination/controller/status.rs
+++ b/src/coordination/controller/status.rs
@@ -5,7 +5,9 @@
 
 use crate::coordination::controller::Controller;
 use crate::coordination::election::Role;
+use crate::numeric::{count_u32, whole_ms};
 use crate::protocol::cbor::MapBuilder;
+use crate::storage::kv::{CLASSES, ClassStatistics, RequestClass};
 
 impl Controller {
     /// Collects the controller's metrics.
@@ -14,7 +16,8 @@
             .set("name", self.config.settings.name.as_str())
             .set("build", env!("CARGO_PKG_VERSION"))
             .set("role", self.role_description())
-            .set("epochsReused", self.epoch_guard.violations());
+            .set("epochsReused", self.epoch_guard.violations())
+            .set("answers", self.user_replies.answer_metrics());
         let metrics = match &self.leader {
             Some(leader) => leader.metrics(metrics),
             None => metrics,
@@ -42,6 +45,24 @@
             .set("laterChangesPerSecond", announced.write_rps)
             .set("laterValueKib", announced.value_kb)
             .set("laterLimitsHold", limits == announced)
+            .set("requests", self.request_metrics())
             .build()
     }
+
+    /// How requests to the store have waited in this process, by class.
+    fn request_metrics(&self) -> Value {
+        let statistics = self.kv.statistics();
+        let add_class = |metrics: MapBuilder, class: RequestClass| {
+            let ClassStatistics { queued, oldest, sent, sent_for_nobody, longest_wait } =
+                statistics.of(class);
+            let of_class = MapBuilder::new()
+                .set("queued", count_u32(queued))
+                .set("oldestMs", whole_ms(oldest))
+                .set("sent", sent)
+                .set("sentForNobody", sent_for_nobody)
+                .set("longestWaitMs", whole_ms(longest_wait));
+            metrics.set(class.name(), of_class.build())
+        };
+        CLASSES.into_iter().fold(MapBuilder::new(), add_class).build()
+    }
 }
--- a/src/coordination/controller/tests.rs
+++ b/src/coordination/controller/tests.rs
@@ -478,6 +478,28 @@
     assert_eq!(answer.await.expect("answered").status, 503);
 }
 
+/// While a new leader reads its snapshot it answers 503 to other controllers, although the record
+/// could be read.
+#[tokio::test]
+async fn a_poll_that_the_leader_cannot_answer_is_answered_from_the_record() {
+    let TestHarness { mut controller, mut inputs, handle: _handle, .. } = TestHarness::start().await;
+    controller.routing.set_role(follower_of("c-1"));
+    let (reply, mut answer) = oneshot::channel();
+    let (call, job) = (PeerCall::Poll("job-1".into()), JobId::parse("job-1").expect("valid"));
+    let request = UserRequest { call, job, reply, origin: RequestOrigin::User };
+    let peer_reply = PeerReply { status: 503, body: Vec::new(), retry_after_s: Some(1), lease: None };
+    let (peer, forwarded_at) = ("c-1".to_owned(), Instant::now());
+    controller.handle_forwarded_reply(ForwardedReply { request, peer, forwarded_at, peer_reply });
+    let answer = loop {
+        tokio::select! {
+            biased;
+            answer = &mut answer => break answer.expect("answered"),
+            Some(event) = inputs.events.recv() => controller.handle_event(event),
+        }
+    };
+    assert_eq!(answer.status, 404, "the record decides whether the job exists");
+}
+
 /// The actor decides an answer under a valid lease, and the process is suspended before the
 /// answer is sent. The lease must be checked again when the answer is sent, both to users and to
 /// other controllers.
--- a/src/coordination/controller/tick.rs
+++ b/src/coordination/controller/tick.rs
@@ -16,6 +16,7 @@
     pub(super) fn tick(&mut self) {
         let now = Instant::now();
         self.tick_leader(now);
+        self.snapshot_loader.log_if_slow(now);
         self.flush_expired_replies();
         self.user_replies.fail_expired(now);
         self.query_peers_if_needed(now);
--- a/src/coordination/controller/user_replies.rs
+++ b/src/coordination/controller/user_replies.rs
@@ -1,6 +1,9 @@
 //! Answers to users: the requests that wait for the leader's state machine, and a cache of
 //! terminal job states, with which no later answer contradicts a terminal one.
 
+use std::collections::BTreeMap;
+
+use ciborium::value::Value;
 use tokio::time::Instant;
 
 use crate::coordination::authority::answers::{Answer, TerminalStates};
@@ -8,6 +11,7 @@
 use crate::coordination::controller::{REQUEST_TIMEOUT, RETRY_AFTER_S};
 use crate::coordination::jobs::job::ReplyId;
 use crate::maps::HashMap;
+use crate::protocol::cbor::MapBuilder;
 use crate::protocol::jobs::{JobId, JobStatus};
 
 /// A request that waits for an answer of the leader's state machine.
@@ -27,6 +31,8 @@
     pending: HashMap<ReplyId, PendingReply>,
     last_id: u64,
     terminal_states: TerminalStates,
+    /// Answers about jobs since the process started, by status.
+    answers: BTreeMap<u16, u64>,
 }
 
 impl UserReplies {
@@ -36,6 +42,7 @@
             pending: HashMap::default(),
             last_id: 0,
             terminal_states: TerminalStates::new(terminal_state_capacity),
+            answers: BTreeMap::new(),
         }
     }
 
@@ -62,7 +69,16 @@
 
     /// Answers a request about a job. A cached terminal state takes precedence over `answer`.
     pub(super) fn answer(&mut self, reply: ReplySender, job: &JobId, answer: Answer) {
-        let _ = reply.send(self.terminal_states.resolve(job, answer));
+        let answer = self.terminal_states.resolve(job, answer);
+        *self.answers.entry(answer.status).or_default() += 1;
+        let _ = reply.send(answer);
+    }
+
+    /// The number of answers about jobs by status, without those from cached terminal states.
+    pub(super) fn answer_metrics(&self) -> Value {
+        let add =
+            |metrics: MapBuilder, (status, count): (&u16, &u64)| metrics.set(&status.to_string(), *count);
+        self.answers.iter().fold(MapBuilder::new(), add).build()
     }
 
     /// Fails all pending requests with the same reason, as their leader no longer exists.
--- a/src/storage/kv.rs
+++ b/src/storage/kv.rs
@@ -12,14 +12,18 @@
 mod outcome;
 mod queue;
 mod rates;
+mod statistics;
 
 use std::time::Duration;
 
 use ciborium::value::Value;
 use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::Instant;
 
 pub use actor::start;
+pub use queue::CLASSES;
 use queue::{PendingTransaction, Request};
+pub use statistics::{ClassStatistics, QueueStatistics};
 
 use crate::numeric::whole_usize;
 use crate::protocol::cbor::{MapBuilder, decode, max_json_size};
@@ -61,6 +65,20 @@
     Background,
 }
 
+impl RequestClass {
+    /// The name of the class in metrics and log lines.
+    pub fn name(self) -> &'static str {
+        match self {
+            RequestClass::Renewal => "renewal",
+            RequestClass::Cancellation => "cancellation",
+            RequestClass::Admission => "admission",
+            RequestClass::Completion => "completion",
+            RequestClass::Progress => "progress",
+            RequestClass::Background => "background",
+        }
+    }
+}
+
 /// Why a request to the key-value store failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum KvError {
@@ -102,6 +120,7 @@
     requests: mpsc::Sender<Request>,
     deadline: Duration,
     limits: watch::Receiver<KvLimits>,
+    statistics: watch::Receiver<QueueStatistics>,
     /// Pause after which a read without a usable response is repeated; `None` to report it.
     read_retry_pause: Option<Duration>,
 }
@@ -125,6 +144,11 @@
         *self.limits.borrow()
     }
 
+    /// How requests have waited in this client.
+    pub fn statistics(&self) -> QueueStatistics {
+        *self.statistics.borrow()
+    }
+
     /// Sends a request unchanged, without retries.
     ///
     /// # Errors
@@ -134,7 +158,7 @@
     pub async fn send_raw(&self, class: RequestClass, call: HttpCall) -> HttpResult {
         let (reply, response) = oneshot::channel();
         let channel = if class == RequestClass::Renewal { &self.renewals } else { &self.requests };
-        if channel.send(Request::Raw { class, call, reply }).await.is_err() {
+        if channel.send(Request::Raw { class, call, reply, since: Instant::now() }).await.is_err() {
             return Err(ClientError::NotSent);
         }
         response.await.unwrap_or(Err(ClientError::NotSent))
--- a/src/storage/kv/actor.rs
+++ b/src/storage/kv/actor.rs
@@ -10,7 +10,9 @@
 use super::batch::Batch;
 use super::queue::{PendingTransaction, Request, RequestQueues};
 use super::rates::{RateLimits, RateShare};
+use super::statistics::QueueStatistics;
 use super::{HttpResult, KvClient, RequestClass};
+use crate::numeric::whole_ms;
 use crate::protocol::cbor::encode;
 use crate::protocol::kv::Change;
 use crate::settings::{KvLimits, KvSettings};
@@ -33,6 +35,8 @@
 const RESPONSE_CHANNEL_CAPACITY: usize = 64;
 /// Number of queued requests at which the actor stops receiving more; callers then wait.
 const MAX_QUEUED: usize = 512;
+/// Time between two publications of the statistics.
+const STATISTICS_INTERVAL: Duration = Duration::from_secs(1);
 /// How long the actor sleeps if it waits only for events.
 const IDLE_SLEEP: Duration = Duration::from_secs(3600);
 /// A request whose timeout is more than this many times the usual deadline is a long poll.
@@ -98,6 +102,10 @@
     /// Limits how often failed commits are logged.
     pub(super) log_throttle: LogThrottle,
     finished: mpsc::Sender<Finished>,
+    statistics: QueueStatistics,
+    published_statistics: watch::Sender<QueueStatistics>,
+    /// When the statistics are published next.
+    publish_at: Instant,
 }
 
 /// Starts the actor for the store at this address.
@@ -118,6 +126,7 @@
     let (finished, responses) = mpsc::channel(RESPONSE_CHANNEL_CAPACITY);
     let initial = state.initial();
     let (limits_in_force, limits) = watch::channel(initial);
+    let (published_statistics, statistics) = watch::channel(QueueStatistics::default());
     let actor = Actor {
         pool: ConnectionPool::new(address, RESPONSE_LIMITS, MAX_IN_FLIGHT),
         queues: RequestQueues::default(),
@@ -130,17 +139,22 @@
         pause_until: Instant::now(),
         log_throttle: LogThrottle::default(),
         finished,
+        statistics: QueueStatistics::default(),
+        published_statistics,
+        publish_at: Instant::now(),
     };
     let inboxes = Inboxes { renewals: renewal_inbox, requests: inbox, responses };
     tokio::spawn(actor.run(controllers, inboxes, is_leader));
-    KvClient { renewals, requests, deadline, limits, read_retry_pause: None }
+    KvClient { renewals, requests, deadline, limits, statistics, read_retry_pause: None }
 }
 
 impl Actor {
     /// Runs until all clients, or the sender of `is_leader`, are dropped.
     async fn run(mut self, controllers: u32, mut inboxes: Inboxes, mut is_leader: watch::Receiver<bool>) {
         loop {
-            let wait = self.dispatch(Instant::now());
+            let now = Instant::now();
+            let wait = self.dispatch(now);
+            self.publish_statistics(now);
             let sleep = tokio::time::sleep(wait.unwrap_or(IDLE_SLEEP));
             tokio::select! {
                 biased;
@@ -194,10 +208,31 @@
         }
     }
 
+    fn publish_statistics(&mut self, now: Instant) {
+        if now < self.publish_at {
+            return;
+        }
+        self.publish_at = now + STATISTICS_INTERVAL;
+        self.queues.measure(now, &mut self.statistics);
+        self.published_statistics.send_replace(self.statistics);
+    }
+
+    /// Records that a request is sent. A renewal that has waited for as long as its own timeout has
+    /// used up time that the lease does not have.
+    fn record_sent(&mut self, now: Instant, request: &Request) {
+        let (class, wait) = (request.class(), now - request.since());
+        self.statistics.classes[class as usize].record_sent(wait, request.is_awaited());
+        if class == RequestClass::Renewal && wait > self.deadline {
+            tracing::error!(wait_ms = whole_ms(wait), "request of the election waited in the client");
+        }
+    }
+
     /// Sends the first waiting request; `None` if there is none.
     fn send_first(&mut self, now: Instant, writes: usize) -> Option<()> {
         self.rates.spend_request();
-        match self.queues.pop_first()? {
+        let request = self.queues.pop_first()?;
+        self.record_sent(now, &request);
+        match request {
             Request::Raw { call, reply, .. } => {
                 self.rates.spend_writes(writes);
                 self.send_raw(call, reply);
--- a/src/storage/kv/queue.rs
+++ b/src/storage/kv/queue.rs
@@ -1,14 +1,17 @@
 //! Requests that wait to be sent, in one queue per class.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 
+use super::statistics::{CLASS_COUNT, QueueStatistics};
 use super::{HttpResult, KvError, RequestClass, Transaction};
 use crate::transport::client::HttpCall;
 
 /// All request classes, the highest priority first.
-const CLASSES: [RequestClass; 6] = [
+pub const CLASSES: [RequestClass; CLASS_COUNT] = [
     RequestClass::Renewal,
     RequestClass::Cancellation,
     RequestClass::Admission,
@@ -27,19 +30,38 @@
         call: HttpCall,
         /// Receives the result.
         reply: oneshot::Sender<HttpResult>,
+        /// When the caller passed the request to the client.
+        since: Instant,
     },
     /// A transaction that is retried until its outcome is known.
     Commit(Box<PendingTransaction>),
 }
 
 impl Request {
-    fn class(&self) -> RequestClass {
+    /// The priority of the request.
+    pub(super) fn class(&self) -> RequestClass {
         match self {
             Request::Raw { class, .. } => *class,
             Request::Commit(pending) => pending.transaction.class,
         }
     }
 
+    /// When the caller passed the request to the client.
+    pub(super) fn since(&self) -> Instant {
+        match self {
+            Request::Raw { since, .. } => *since,
+            Request::Commit(pending) => pending.since,
+        }
+    }
+
+    /// Whether the caller still waits for the response. A commit is carried out in any case.
+    pub(super) fn is_awaited(&self) -> bool {
+        match self {
+            Request::Raw { reply, .. } => !reply.is_closed(),
+            Request::Commit(_) => true,
+        }
+    }
+
     /// Number of puts and deletes that count against the store's write rate. A raw commit counts
     /// as one: only the election sends them, and each writes only the leader key.
     pub(super) fn write_count(&self) -> usize {
@@ -71,6 +93,8 @@
     /// Marker in the values of this transaction and of no other.
     pub(super) write_marker: String,
     attempt_state: AttemptState,
+    /// When the caller passed it to the client.
+    since: Instant,
     reply: oneshot::Sender<Result<u64, KvError>>,
 }
 
@@ -82,7 +106,14 @@
         write_marker: String,
         reply: oneshot::Sender<Result<u64, KvError>>,
     ) -> Self {
-        PendingTransaction { transaction, size, write_marker, attempt_state: AttemptState::Batchable, reply }
+        PendingTransaction {
+            transaction,
+            size,
+            write_marker,
+            attempt_state: AttemptState::Batchable,
+            since: Instant::now(),
+            reply,
+        }
     }
 
     /// Whether it may be committed together with transactions of other callers.
@@ -124,6 +155,14 @@
         self.queues.iter().map(VecDeque::len).sum()
     }
 
+    /// Updates how many requests wait, and for how long.
+    pub(super) fn measure(&self, now: Instant, statistics: &mut QueueStatistics) {
+        for (queue, class) in self.queues.iter().zip(&mut statistics.classes) {
+            class.queued = queue.len();
+            class.oldest = queue.front().map_or(Duration::ZERO, |request| now - request.since());
+        }
+    }
+
     /// Adds a request behind all others of its class.
     pub(super) fn push_back(&mut self, request: Request) {
         self.queues[request.class() as usize].push_back(request);
--- a/src/storage/kv/tests.rs
+++ b/src/storage/kv/tests.rs
@@ -93,6 +93,54 @@
     }
 }
 
+/// Requests per second of the store for all controllers; the clients of these tests have a follower's
+/// share.
+const STORE_RPS: f64 = 600.0;
+/// Users' reads at a controller of a cluster of about 4,000 machines, as many as its sockets allow.
+const USERS_READS: usize = 568;
+/// How long a read of a user's poll may take.
+const USERS_PATIENCE: Duration = Duration::from_millis(1500);
+
+/// Starts many reads whose callers leave after [`USERS_PATIENCE`], and waits until they have left.
+async fn abandon_reads(kv: &KvClient) {
+    let mut reads = tokio::task::JoinSet::new();
+    for n in 0..USERS_READS {
+        let kv = kv.clone();
+        reads.spawn(async move {
+            let key = format!("k{n}");
+            tokio::time::timeout(USERS_PATIENCE, kv.get(RequestClass::Completion, &key)).await.is_ok()
+        });
+    }
+    while reads.join_next().await.is_some() {}
+}
+
+#[tokio::test(start_paused = true)]
+async fn reads_whose_callers_have_left_do_not_delay_others() {
+    serve_absent_keys();
+    let kv = kv_client_within(UNUSED_ADDRESS, KvSettings { rps: STORE_RPS, ..limits(4) });
+    abandon_reads(&kv).await;
+    let sent = Instant::now();
+    let read = kv.get(RequestClass::Completion, "k").await;
+    assert_eq!(read, Ok(None));
+    assert!(sent.elapsed() <= USERS_PATIENCE, "answered after {:?}", sent.elapsed());
+}
+
+#[tokio::test(start_paused = true)]
+async fn waits_and_callers_that_have_left_are_counted() {
+    serve_absent_keys();
+    let kv = kv_client_within(UNUSED_ADDRESS, KvSettings { rps: 10.0, ..limits(4) });
+    abandon_reads(&kv).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let statistics = kv.statistics().of(RequestClass::Completion);
+    assert!(statistics.sent > 0 && statistics.longest_wait >= Duration::from_secs(1), "{statistics:?}");
+    assert_eq!(kv.statistics().of(RequestClass::Renewal), ClassStatistics::default());
+    let mut counted = ClassStatistics::default();
+    counted.record_sent(Duration::from_secs(2), true);
+    counted.record_sent(Duration::from_secs(1), false);
+    assert_eq!((counted.sent, counted.sent_for_nobody), (2, 1));
+    assert_eq!(counted.longest_wait, Duration::from_secs(2));
+}
+
 #[tokio::test]
 async fn transactions_of_several_callers_are_batched_up_to_the_limit() {
     let (kv, server) = client_and_server(&[]).await;
--- a/tests/soak/checker.rs
+++ b/tests/soak/checker.rs
@@ -79,6 +79,8 @@
 /// Time and resource limits that the rules apply.
 #[derive(Debug, Clone)]
 pub struct CheckParameters {
+    /// Number of controllers.
+    pub controllers: usize,
     /// CPUs that the limited team may use.
     pub team_cpu_limit: f64,
     /// How long tasks of a cancelled job may keep running.
@@ -118,6 +120,13 @@
     silent_controllers: BTreeSet<usize>,
 }
 
+impl ObservedJob {
+    /// A job before the first event. Jobs of the backlog were accepted before the run.
+    fn at_the_beginning(job: &Job) -> Self {
+        ObservedJob { accepted_at: job.is_in_backlog.then_some(Duration::ZERO), ..Default::default() }
+    }
+}
+
 struct Checker<'a> {
     jobs: &'a [Job],
     parameters: &'a CheckParameters,
@@ -129,8 +138,6 @@
     findings: Vec<Finding>,
     /// Number of task starts.
     task_starts: usize,
-    /// The controllers that have responded to any request.
-    controllers: BTreeSet<usize>,
 }
 
 /// Returns all findings in a history. Its entries must be sorted by time.
@@ -138,12 +145,11 @@
     let mut checker = Checker {
         jobs,
         parameters,
-        observed_jobs: vec![ObservedJob::default(); jobs.len()],
+        observed_jobs: jobs.iter().map(ObservedJob::at_the_beginning).collect(),
         running: BTreeMap::new(),
         ancestors: ancestors(jobs),
         findings: Vec::new(),
         task_starts: 0,
-        controllers: BTreeSet::new(),
     };
     for Entry { at, event } in history {
         checker.handle(*at, event);
@@ -354,7 +360,6 @@
         let response = format!("c-{controller} responded {status} {state:?} to {request:?}");
         let description =
             format!("{}: {response}, request sent at {:.2} s", self.name(job), sent_at.as_secs_f64());
-        self.controllers.insert(controller);
         let was_accepted =
             self.observed_jobs[job].accepted_at.is_some_and(|accepted_at| accepted_at < sent_at);
         match status_and_state {
@@ -441,7 +446,7 @@
             self.add_finding(Rule::NothingRan, end, "no task was started".into());
         }
         for job in 0..self.jobs.len() {
-            for controller in self.controllers.clone() {
+            for controller in 0..self.parameters.controllers {
                 self.check_answer_gap(end, job, controller);
             }
         }
--- a/tests/soak/checker_tests.rs
+++ b/tests/soak/checker_tests.rs
@@ -12,6 +12,7 @@
 
 fn parameters() -> CheckParameters {
     CheckParameters {
+        controllers: 1,
         team_cpu_limit: 8.0,
         cancel_within: seconds(16.0),
         start_in_flight: seconds(4.0),
@@ -335,7 +336,7 @@
         let history = [answer_of_0(1.0), refusal_of_1(70.0), answer_of_0(90.0), answer_of_0(end - 0.1)];
         let entries: Vec<Entry> =
             history.into_iter().map(|(at, event)| Entry { at: seconds(at), event }).collect();
-        let parameters = CheckParameters { end: seconds(end), ..parameters() };
+        let parameters = CheckParameters { controllers: 2, end: seconds(end), ..parameters() };
         check(&jobs, &parameters, &entries).into_iter().map(|finding| finding.rule).collect::<Vec<_>>()
     };
     assert!(until(140.6).contains(&Rule::Unanswered));
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -162,6 +162,7 @@
     drop(cluster);
     let history = collector.history(end).await;
     let parameters = CheckParameters {
+        controllers,
         team_cpu_limit: options.workers as f64 * MACHINE_CPUS * LIMITED_SHARE,
         cancel_within: CANCEL_WITHIN,
         start_in_flight: START_IN_FLIGHT,
--- a/tests/soak/users.rs
+++ b/tests/soak/users.rs
@@ -83,13 +83,8 @@
             let mut accepted = self.users.accepted[dependency].subscribe();
             let _ = accepted.wait_for(|accepted| *accepted).await;
         }
-        loop {
-            let (status, state) = self.send_to_any_controller(UserRequest::Submit).await;
-            match status {
-                200 | 201 if state.is_some() => break,
-                400 | 422 => return,
-                _ => self.pause(0.2..0.8).await,
-            }
+        if !self.planned_job().is_in_backlog && !self.submit().await {
+            return;
         }
         self.users.accepted[self.job].send_replace(true);
         self.query_all_controllers();
@@ -100,6 +95,18 @@
         self.poll().await;
     }
 
+    /// Submits the job until it is accepted; returns false if it is rejected.
+    async fn submit(&mut self) -> bool {
+        loop {
+            let (status, state) = self.send_to_any_controller(UserRequest::Submit).await;
+            match status {
+                200 | 201 if state.is_some() => return true,
+                400 | 422 => return false,
+                _ => self.pause(0.2..0.8).await,
+            }
+        }
+    }
+
     /// A copy of the user with its own random numbers, for a concurrent request.
     fn concurrent(&mut self) -> User {
         User { rng: SmallRng::seed_from_u64(self.rng.random()), ..self.clone() }
