Let the requests in flight and queued to the state service grow with its rate

Eight requests in flight, six of them for reads, serve about 750 reads a second where a response takes 8 ms; the leader's share of the rate is 474 at 800 machines and five to eight times that at 4,000 and half as many again. 512 queued requests were a second of the rate at 800 machines and a fifth of one at 4,000.

Change: reads in flight are as many as the whole rate sends in 20 ms, the queue a second of the rate, both with the former numbers as lower bound and an upper bound against absurd settings. Transactions keep the former limit of requests in flight: those that wait are batched, and transactions_of_several_callers_are_batched_up_to_the_limit failed when they got the new one. The 20 ms and the second are chosen, not tuned.

Test: the_requests_held_grow_with_the_rate_and_are_bounded.

--- a/src/storage/kv.rs
+++ b/src/storage/kv.rs
@@ -9,6 +9,7 @@
 
 mod actor;
 mod batch;
+mod capacity;
 mod outcome;
 mod queue;
 mod rates;
--- a/src/storage/kv/actor.rs
+++ b/src/storage/kv/actor.rs
@@ -8,6 +8,7 @@
 use tokio::time::Instant;
 
 use super::batch::Batch;
+use super::capacity::Capacity;
 use super::queue::{PendingTransaction, Request, RequestQueues};
 use super::rates::{RateLimits, RateShare};
 use super::statistics::QueueStatistics;
@@ -22,19 +23,13 @@
 
 /// Maximum size of a response: a page of 512 KiB and its framing.
 const RESPONSE_LIMITS: Limits = Limits { head: 8 * 1024, body: 640 * 1024 };
-/// Maximum number of requests in flight, not counting long polls. Renewals may exceed it.
-const MAX_IN_FLIGHT: usize = 8;
-/// Number of [`MAX_IN_FLIGHT`] requests that all other classes leave for renewals.
+/// Number of the requests that may be in flight that all other classes leave for renewals.
 const RENEWAL_SLOTS: usize = 2;
 /// Capacity of the channel on which the actor receives the election's requests. The election sends
 /// one at a time.
 const RENEWAL_CHANNEL_CAPACITY: usize = 4;
-/// Capacity of the channel on which the actor receives all other requests.
-const REQUEST_CHANNEL_CAPACITY: usize = 256;
 /// Capacity of the channel on which the actor receives responses.
 const RESPONSE_CHANNEL_CAPACITY: usize = 64;
-/// Number of queued requests at which the actor stops receiving more; callers then wait.
-const MAX_QUEUED: usize = 512;
 /// Time between two publications of the statistics.
 const STATISTICS_INTERVAL: Duration = Duration::from_secs(1);
 /// How long the actor sleeps if it waits only for events.
@@ -44,7 +39,7 @@
 /// After a failed commit, only renewals are sent for the deadline divided by this number.
 const PAUSE_DEADLINE_DIVISOR: u32 = 10;
 
-/// Whether a request counts against [`MAX_IN_FLIGHT`].
+/// Whether a request counts against [`Capacity::in_flight`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Slot {
     /// It counts.
@@ -89,6 +84,7 @@
     pub(super) queues: RequestQueues,
     rates: RateLimits,
     in_flight: usize,
+    capacity: Capacity,
     /// Maximum number of puts and deletes in one transaction that both the limits in force and
     /// the announced limits allow.
     max_changes: usize,
@@ -122,16 +118,18 @@
     is_leader: watch::Receiver<bool>,
 ) -> KvClient {
     let (renewals, renewal_inbox) = mpsc::channel(RENEWAL_CHANNEL_CAPACITY);
-    let (requests, inbox) = mpsc::channel(REQUEST_CHANNEL_CAPACITY);
+    let capacity = Capacity::of_rate(state.rps);
+    let (requests, inbox) = mpsc::channel(capacity.channel);
     let (finished, responses) = mpsc::channel(RESPONSE_CHANNEL_CAPACITY);
     let initial = state.initial();
     let (limits_in_force, limits) = watch::channel(initial);
     let (published_statistics, statistics) = watch::channel(QueueStatistics::default());
     let actor = Actor {
-        pool: ConnectionPool::new(address, RESPONSE_LIMITS, MAX_IN_FLIGHT),
+        pool: ConnectionPool::new(address, RESPONSE_LIMITS, capacity.in_flight),
         queues: RequestQueues::default(),
         rates: RateLimits::new(RateShare { controllers, leading: false }, initial),
         in_flight: 0,
+        capacity,
         max_changes: state.strictest().txn_ops,
         announced: state.announced(),
         limits_in_force,
@@ -166,7 +164,7 @@
                 }
                 Some(request) = inboxes.renewals.recv() => self.queues.push_back(request),
                 Some(finished) = inboxes.responses.recv() => self.handle_finished(finished),
-                request = inboxes.requests.recv(), if self.queues.len() < MAX_QUEUED => match request {
+                request = inboxes.requests.recv(), if self.queues.len() < self.capacity.queued => match request {
                     Some(request) => self.queues.push_back(request),
                     None => return,
                 },
@@ -194,7 +192,7 @@
         let Some((class, request)) = self.queues.first() else { return NextAction::WaitForEvent };
         let writes = request.write_count();
         if class != RequestClass::Renewal {
-            if self.in_flight >= MAX_IN_FLIGHT - RENEWAL_SLOTS {
+            if self.in_flight >= self.capacity.limit_for(request) - RENEWAL_SLOTS {
                 return NextAction::WaitForEvent;
             }
             if now < self.pause_until {
--- a/src/storage/kv/tests.rs
+++ b/src/storage/kv/tests.rs
@@ -5,6 +5,7 @@
 
 use tokio::time::Instant;
 
+use super::capacity::Capacity;
 use super::rates::write_reserve;
 use super::*;
 use crate::settings::{AnnouncedLimits, KvSettings};
@@ -141,6 +142,17 @@
     assert_eq!(counted.longest_wait, Duration::from_secs(2));
 }
 
+/// At 4,000 machines and half as many again the rate is five to eight times that of 800.
+#[test]
+fn the_requests_held_grow_with_the_rate_and_are_bounded() {
+    let (usual, large) = (Capacity::of_rate(600.0), Capacity::of_rate(4500.0));
+    assert!(large.in_flight >= 7 * usual.in_flight && large.queued >= 7 * usual.queued);
+    for rate in [f64::MIN_POSITIVE, f64::MAX, f64::INFINITY] {
+        let capacity = Capacity::of_rate(rate);
+        assert!((8..1000).contains(&capacity.in_flight) && (512..100_000).contains(&capacity.queued));
+    }
+}
+
 #[tokio::test]
 async fn transactions_of_several_callers_are_batched_up_to_the_limit() {
     let (kv, server) = client_and_server(&[]).await;
