--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -4,7 +4,9 @@
 //!
 //! * `schedule`, `jobs`: the faults and the users' jobs of a run. The seed determines both, but
 //!   not how the processes interleave, so a seed may not reproduce its findings.
-//! * `run`: starts the components, injects the faults and checks the history.
+//! * `run`: one run, from the start of the components to the check of the history; `cluster`: the
+//!   components, and how faults begin and end; `collector`, `monitors`: what watches them; `report`:
+//!   the result.
 //! * `processes`, `network`: the controllers, and the links between them and other components.
 //! * `workers`, `users`, `kv_server`, `cloud`: the test doubles; `http` has their shared code.
 //! * `history`, `checker`: the observed events, and the rules that they must satisfy.
@@ -16,13 +18,17 @@
 mod checker;
 mod checker_tests;
 mod cloud;
+mod cluster;
+mod collector;
 mod history;
 mod http;
 mod jobs;
 mod kv_server;
+mod monitors;
 mod network;
 mod options;
 mod processes;
+mod report;
 mod run;
 mod schedule;
 mod users;
@@ -32,7 +38,7 @@
 use std::time::Duration;
 
 use options::{InvalidOption, Options};
-use run::{Report, Verdict};
+use report::{Report, Verdict};
 
 /// How long tasks of a cancelled job may keep running, in the settings of every run.
 pub const CANCEL_WITHIN: Duration = Duration::from_secs(16);
