--- a/src/coordination/tests/answers_after_faults.rs
+++ b/src/coordination/tests/answers_after_faults.rs
@@ -4,13 +4,17 @@
 use std::time::Duration;
 
 use super::random_faults::{in_simulated_time, submit_job};
-use super::simulation::{ClusterShape, Fault, Origin, Simulation};
+use super::simulation::{AcceptedJob, ClusterShape, Fault, Origin, Simulation};
 
+use AcceptedJob::*;
 use Fault::*;
 
 /// Accepted jobs: the unfinished ones are more than a leader reads of the state service within its
 /// lease.
 const ACCEPTED_JOBS: usize = 3000;
+/// One in ten is done, one in ten cancelled.
+const ACCEPTED_KINDS: [AcceptedJob; 10] =
+    [Done, Cancelled, Queued, Queued, Queued, Queued, Queued, Queued, Queued, Queued];
 /// All faults have ended by this time, in seconds of simulated time.
 const FAULTS_END: f64 = 60.0;
 /// When every job is polled at every controller: after the time within which users must be answered.
@@ -25,7 +29,7 @@
 fn check_all_answered(faults: &[(f64, Fault)]) {
     let simulation = in_simulated_time(async {
         let mut simulation = Simulation::shaped(1, ClusterShape::large(3), faults.to_vec(), FAULTS_END);
-        simulation.add_accepted_jobs(ACCEPTED_JOBS);
+        simulation.add_accepted_jobs(ACCEPTED_JOBS, &ACCEPTED_KINDS);
         simulation.run(ANSWERED_BY).await;
         let jobs = simulation.poll_accepted_jobs_everywhere(POLL_PAUSE);
         assert!(jobs >= ACCEPTED_JOBS);
@@ -92,6 +96,37 @@
     ]);
 }
 
+/// Accepted jobs of about 4,000 machines whose state service has the rates of 800: four in five are
+/// unfinished, and reading them takes tens of seconds.
+const BACKLOG_JOBS: usize = 12_500;
+/// Done, cancelled, waiting for one that is cancelled, done or unfinished, of many tasks, and queued.
+const BACKLOG_KINDS: [AcceptedJob; 10] =
+    [Done, Cancelled, DependsOn(1), DependsOn(3), DependsOn(1), ManyTasks, Queued, Queued, Queued, Queued];
+/// All faults of a run with a backlog have ended by this time, in seconds of simulated time.
+const BACKLOG_FAULTS_END: f64 = 30.0;
+/// When a run with a backlog ends, after the time within which users must be answered.
+const BACKLOG_END: f64 = BACKLOG_FAULTS_END + 85.0;
+
+#[test]
+fn no_job_of_a_large_backlog_is_forgotten_while_users_poll_faster_than_records_can_be_read() {
+    let kill = Kill { controller: None, restart_after: 0.3 };
+    let faults =
+        [(8.0, Outage { lasts: 10.0 }), (12.0, KillAll { restart_after: 0.3 }), (25.0, kill), (29.0, kill)];
+    let simulation = in_simulated_time(async {
+        let shape = ClusterShape::backlog(3);
+        let mut simulation = Simulation::shaped(1, shape, faults.to_vec(), BACKLOG_FAULTS_END);
+        simulation.add_accepted_jobs(BACKLOG_JOBS, &BACKLOG_KINDS);
+        simulation.run(BACKLOG_END).await;
+        simulation
+    });
+    assert!(
+        simulation.violations.is_empty(),
+        "{} epochs, violations: {:#?}",
+        simulation.leaders.len(),
+        simulation.violations.iter().take(5).collect::<Vec<_>>()
+    );
+}
+
 #[test]
 fn the_checker_catches_a_job_about_which_one_controller_does_not_answer() {
     let violations = in_simulated_time(async {
--- a/src/coordination/tests/simulation/answers.rs
+++ b/src/coordination/tests/simulation/answers.rs
@@ -60,10 +60,13 @@
     /// Schedules the next request of a job's user; none is sent if the job was rejected.
     fn schedule_next_request(&mut self, now: Instant, id: &str, status: u16) {
         let retry_after = seconds(self.rng.random_range(1.0..1.5));
-        let poll_interval = seconds(if now > self.faults_end_at { 5.0 } else { 3.0 });
+        let usual_interval = seconds(if now > self.faults_end_at { 5.0 } else { 3.0 });
+        let fixed_interval = self.shape.poll_interval_s.map(seconds);
         let Some(job) = self.jobs.get_mut(id) else { return };
         job.in_flight = false;
-        job.next = now + if status == 200 || status == 201 { poll_interval } else { retry_after };
+        let is_answered = status == 200 || status == 201;
+        let fixed_interval = fixed_interval.filter(|_| job.accepted.is_some());
+        job.next = now + fixed_interval.unwrap_or(if is_answered { usual_interval } else { retry_after });
         job.rejected |= job.accepted.is_none() && matches!(status, 400 | 422);
         if job.rejected {
             self.record_violation(
--- a/src/coordination/tests/simulation/mod.rs
+++ b/src/coordination/tests/simulation/mod.rs
@@ -72,6 +72,7 @@
 pub use faults::Fault;
 pub use shape::ClusterShape;
 pub use trace::Trace;
+pub use users::AcceptedJob;
 
 /// Interval between two steps of workers, users and faults.
 const STEP: Duration = Duration::from_millis(100);
--- a/src/coordination/tests/simulation/shape.rs
+++ b/src/coordination/tests/simulation/shape.rs
@@ -26,6 +26,9 @@
     pub sockets: usize,
     /// Maximum number of keys in one page of the state service.
     pub page: usize,
+    /// Interval between two polls of a user, in seconds, whatever the answers are; `None` if users
+    /// repeat a failed poll sooner.
+    pub poll_interval_s: Option<f64>,
     /// Probability that a job may depend on others.
     pub dependent_probability: f64,
     /// Whether lower limits of the state service are announced, which take effect with
@@ -47,6 +50,7 @@
             memory_mb: settings::tests::sample().cluster.limits.memory_mb,
             sockets: settings::tests::sample().cluster.limits.max_connections,
             page: 1000,
+            poll_interval_s: None,
             dependent_probability: 0.0,
             limits_lowered: false,
         }
@@ -58,6 +62,12 @@
         ClusterShape { writes: 240.0, memory_mb: 188.0, sockets: 13_600, ..ClusterShape::usual(controllers) }
     }
 
+    /// As [`Self::large`], with small values, so that the done tasks of an array are split into
+    /// blocks, and users that poll at the interval of the protocol.
+    pub fn backlog(controllers: usize) -> Self {
+        ClusterShape { value_kb: 0.002, poll_interval_s: Some(5.0), ..ClusterShape::large(controllers) }
+    }
+
     /// Many jobs depend on others, and lower limits of the state service are announced.
     pub fn with_dependencies(self) -> Self {
         ClusterShape { dependent_probability: 0.4, limits_lowered: true, ..self }
--- a/src/coordination/tests/simulation/users.rs
+++ b/src/coordination/tests/simulation/users.rs
@@ -16,6 +16,40 @@
     is_extra: bool,
 }
 
+/// A job that was accepted before the simulation began.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AcceptedJob {
+    Queued,
+    Done,
+    Cancelled,
+    /// An unfinished array whose done tasks are stored in several blocks if values are small.
+    ManyTasks,
+    /// It waits for the job this many places before it.
+    DependsOn(usize),
+}
+
+impl AcceptedJob {
+    fn task_count(self) -> u32 {
+        if self == AcceptedJob::ManyTasks { 16 } else { 1 }
+    }
+
+    fn dependency_offset(self) -> Option<usize> {
+        match self {
+            AcceptedJob::DependsOn(offset) => Some(offset),
+            _ => None,
+        }
+    }
+}
+
+fn accepted_job_id(number: usize) -> String {
+    format!("job-5{number:05}")
+}
+
+/// The id of the accepted job this many places before another one.
+fn dependency(number: usize, offset: usize) -> JobId {
+    JobId::parse(&accepted_job_id(number - offset)).expect("valid")
+}
+
 impl Simulation {
     /// Submits a job with random tasks, priority, placement, dependencies and run time, which
     /// may be cancelled later.
@@ -108,21 +142,23 @@
     }
 
     /// Adds jobs that were accepted before the simulation began: their records and rows are in the
-    /// state service, and their users poll them. One in ten is done, one in ten cancelled; the others
-    /// are too long to end.
-    pub fn add_accepted_jobs(&mut self, count: usize) {
+    /// state service, and their users poll them. The kinds are repeated in this order; the jobs that
+    /// are not terminal are too long to end.
+    pub fn add_accepted_jobs(&mut self, count: usize, kinds: &[AcceptedJob]) {
         let now = Instant::now();
-        for number in 0..count {
-            let mut spec = sample(&format!("job-5{number:05}"), "red", 1, 4.0);
+        for (number, kind) in (0..count).zip(kinds.iter().cycle()) {
+            let mut spec = sample(&accepted_job_id(number), "red", kind.task_count(), 4.0);
             spec.spot = false;
+            spec.dependencies =
+                kind.dependency_offset().map(|offset| dependency(number, offset)).into_iter().collect();
             let mut job = Job::new(now, spec.clone(), AFTER_THE_END.as_secs_f64(), None);
             let mut record = JobRecord::new(spec, 0);
-            match number % 10 {
-                0 => {
+            match kind {
+                AcceptedJob::Done => {
                     record.completed = true;
                     job.done.insert(0);
                 }
-                1 => {
+                AcceptedJob::Cancelled => {
                     record.cancelled = true;
                     job.cancel_from = Some(now);
                 }
