Measure the actor's turns, count refusals by reason, log an epoch's first answer

Two readings of the clock a turn, one map entry a refusal. No decision changes. The age of a failed request is not recorded: it needs the time of arrival beside each reply.

--- a/src/coordination/authority/answers.rs
+++ b/src/coordination/authority/answers.rs
@@ -22,6 +22,9 @@
 /// Minimum and maximum number of seconds that a client is told to wait before a retry.
 const RETRY_AFTER_BOUNDS_S: (u32, u32) = (1, 30);
 
+/// The reason in the metrics for a refusal of another controller that is passed on.
+const REFUSED_BY_PEER: &str = "refused by another controller";
+
 /// An answer to a user or a worker.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Answer {
@@ -31,6 +34,8 @@
     pub body: Vec<u8>,
     /// Seconds after which the client should retry; `None` if a retry does not help.
     pub retry_after_s: Option<u32>,
+    /// Why the request is refused now, for the metrics; `None` if it is answered.
+    pub refusal: Option<&'static str>,
     /// The job status that the body holds, if any.
     pub job_status: Option<JobStatus>,
     /// Until when the answer may be sent; `None` if it stays valid.
@@ -51,7 +56,14 @@
 impl Answer {
     /// An answer that stays valid.
     pub fn new(status: u16, body: &ciborium::value::Value) -> Self {
-        Answer { status, body: encode(body), retry_after_s: None, job_status: None, validity: None }
+        Answer {
+            status,
+            body: encode(body),
+            retry_after_s: None,
+            refusal: None,
+            job_status: None,
+            validity: None,
+        }
     }
 
     /// An error with its reason.
@@ -60,9 +72,10 @@
     }
 
     /// Refuses a request that cannot be handled now, and tells the client when to retry.
-    pub fn retry_later(status: u16, reason: &str, after_s: u32) -> Self {
+    pub fn retry_later(status: u16, reason: &'static str, after_s: u32) -> Self {
         let (min, max) = RETRY_AFTER_BOUNDS_S;
-        Answer { retry_after_s: Some(after_s.clamp(min, max)), ..Answer::error(status, reason) }
+        let retry_after_s = Some(after_s.clamp(min, max));
+        Answer { retry_after_s, refusal: Some(reason), ..Answer::error(status, reason) }
     }
 
     /// A job's state. A terminal state stays valid; any other is valid as `validity` says.
@@ -142,7 +155,8 @@
     match status {
         200 | 201 => {}
         400 | 404 | 422 | 429 | 503 | 504 => {
-            return Ok(Answer { status, body, retry_after_s, job_status: None, validity: None });
+            let refusal = matches!(status, 429 | 503 | 504).then_some(REFUSED_BY_PEER);
+            return Ok(Answer { status, body, retry_after_s, refusal, job_status: None, validity: None });
         }
         _ => return Err(UnusableReply::Status),
     }
--- a/src/coordination/controller/heartbeat_answers.rs
+++ b/src/coordination/controller/heartbeat_answers.rs
@@ -26,7 +26,7 @@
     let PeerReply { status, body, lease, .. } = reply;
     let validity =
         lease.map(|lease| Validity { epoch: lease.epoch, valid_until: relayed_at + lease.remaining });
-    Answer { status, body, retry_after_s: None, job_status: None, validity }
+    Answer { status, body, retry_after_s: None, refusal: None, job_status: None, validity }
 }
 
 /// Builds the answer to a heartbeat from a deferred reply. A worker that is redirected
--- a/src/coordination/controller/leader_lifecycle.rs
+++ b/src/coordination/controller/leader_lifecycle.rs
@@ -37,6 +37,7 @@
         if !is_same_epoch {
             self.step_down();
             self.leadership.publish_leading();
+            self.user_replies.begin_epoch(now, epoch);
             self.snapshot_loader.start(epoch);
         }
         self.leadership.publish_lease_expiry(lease_expiry);
--- a/src/coordination/controller/mod.rs
+++ b/src/coordination/controller/mod.rs
@@ -13,6 +13,7 @@
 //! | `leadership` | the channels that publish the leadership and its lease; the last epoch led |
 //! | `readiness` | whether users and workers should be sent to this controller |
 //! | `latencies` | latency histograms |
+//! | `turns` | how long the actor's turns take |
 //!
 //! `Controller` receives events and dispatches them. Its handlers are grouped by subject:
 //! `leader_lifecycle`, `requests`, `heartbeats`, `effects`, `tick` and `status`.
@@ -38,6 +39,7 @@
 mod status;
 mod system_time;
 mod tick;
+mod turns;
 mod user_replies;
 mod worker_redirects;
 
@@ -59,6 +61,7 @@
 use crate::coordination::controller::record_reads::RecordReads;
 use crate::coordination::controller::routing::LeaderRouting;
 use crate::coordination::controller::snapshot_loader::SnapshotLoader;
+use crate::coordination::controller::turns::{TurnKind, Turns};
 use crate::coordination::controller::user_replies::UserReplies;
 use crate::coordination::election::Role;
 use crate::coordination::fleet::cloud::Cloud;
@@ -102,6 +105,7 @@
     pushes: ConcurrencyLimit,
     readiness: Readiness,
     latencies: LatencyHistograms,
+    turns: Turns,
     /// When the metrics were last logged.
     metrics_logged_at: Instant,
 }
@@ -115,6 +119,27 @@
     pub roles: mpsc::Receiver<Role>,
 }
 
+/// What the actor handles in one turn.
+enum Message {
+    Role(Role),
+    Event(InternalEvent),
+    Tick,
+    Heartbeat(HeartbeatMessage),
+    Request(RequestMessage),
+}
+
+impl Message {
+    fn kind(&self) -> TurnKind {
+        match self {
+            Message::Role(_) => TurnKind::Role,
+            Message::Event(_) => TurnKind::Event,
+            Message::Tick => TurnKind::Tick,
+            Message::Heartbeat(_) => TurnKind::Heartbeat,
+            Message::Request(_) => TurnKind::Request,
+        }
+    }
+}
+
 impl Controller {
     /// Creates a controller that does not lead yet, its queues, and the handle that sends
     /// messages to them.
@@ -150,6 +175,7 @@
             pushes: ConcurrencyLimit::new(capacity.pushes),
             readiness: Readiness::new(is_ready, now, config.settings.cluster.workers.lease()),
             latencies: LatencyHistograms::new(),
+            turns: Turns::new(config.tuning.lease),
             metrics_logged_at: now,
             config,
             kv,
@@ -166,22 +192,36 @@
         let mut tick = tokio::time::interval(TICK_INTERVAL);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            tokio::select! {
+            let message = tokio::select! {
                 // Polled by priority: the role and its lease, results of spawned tasks, periodic
                 // work, workers, then users.
                 biased;
                 role = inputs.roles.recv() => match role {
-                    Some(role) => self.handle_role(role),
+                    Some(role) => Message::Role(role),
                     None => return,
                 },
-                Some(event) = inputs.events.recv() => self.handle_event(event),
-                _ = tick.tick() => self.tick(),
-                Some(message) = inputs.heartbeats.recv() => self.handle_heartbeat(message),
-                Some(message) = inputs.requests.recv() => self.handle_message(message),
+                Some(event) = inputs.events.recv() => Message::Event(event),
+                _ = tick.tick() => Message::Tick,
+                Some(heartbeat) = inputs.heartbeats.recv() => Message::Heartbeat(heartbeat),
+                Some(request) = inputs.requests.recv() => Message::Request(request),
                 else => return,
-            }
-            self.perform_effects();
+            };
+            self.take_turn(message);
+        }
+    }
+
+    /// Handles one message, and performs the effects that it has.
+    fn take_turn(&mut self, message: Message) {
+        let (began, kind) = (Instant::now(), message.kind());
+        match message {
+            Message::Role(role) => self.handle_role(role),
+            Message::Event(event) => self.handle_event(event),
+            Message::Tick => self.tick(),
+            Message::Heartbeat(heartbeat) => self.handle_heartbeat(heartbeat),
+            Message::Request(request) => self.handle_message(request),
         }
+        self.perform_effects();
+        self.turns.record(kind, began, Instant::now());
     }
 
     fn handle_message(&mut self, message: RequestMessage) {
--- a/src/coordination/controller/requests.rs
+++ b/src/coordination/controller/requests.rs
@@ -112,7 +112,7 @@
 
     /// Answers a request that could not be forwarded to the leader: a user's poll from the
     /// record, any other request with a failure.
-    pub(super) fn answer_without_leader(&mut self, request: UserRequest, reason: &str) {
+    pub(super) fn answer_without_leader(&mut self, request: UserRequest, reason: &'static str) {
         let UserRequest { call, job, reply, origin } = request;
         match call {
             PeerCall::Poll(_) if origin == RequestOrigin::User => self.answer_from_record(reply, job),
--- a/src/coordination/controller/status.rs
+++ b/src/coordination/controller/status.rs
@@ -17,7 +17,9 @@
             .set("build", env!("CARGO_PKG_VERSION"))
             .set("role", self.role_description())
             .set("epochsReused", self.epoch_guard.violations())
-            .set("answers", self.user_replies.answer_metrics());
+            .set("answers", self.user_replies.answer_metrics())
+            .set("refusals", self.user_replies.refusal_metrics())
+            .set("turns", self.turns.metrics());
         let metrics = match &self.leader {
             Some(leader) => leader.metrics(metrics),
             None => metrics,
--- a/src/coordination/controller/user_replies.rs
+++ b/src/coordination/controller/user_replies.rs
@@ -11,6 +11,7 @@
 use crate::coordination::controller::{REQUEST_TIMEOUT, RETRY_AFTER_S};
 use crate::coordination::jobs::job::ReplyId;
 use crate::maps::HashMap;
+use crate::numeric::whole_ms;
 use crate::protocol::cbor::MapBuilder;
 use crate::protocol::jobs::{JobId, JobStatus};
 
@@ -33,6 +34,10 @@
     terminal_states: TerminalStates,
     /// Answers about jobs since the process started, by status.
     answers: BTreeMap<u16, u64>,
+    /// Refused requests about jobs since the process started, by reason.
+    refusals: BTreeMap<&'static str, u64>,
+    /// The epoch that this controller leads and when it began, until its first answer.
+    unanswered_epoch: Option<(u64, Instant)>,
 }
 
 impl UserReplies {
@@ -43,9 +48,16 @@
             last_id: 0,
             terminal_states: TerminalStates::new(terminal_state_capacity),
             answers: BTreeMap::new(),
+            refusals: BTreeMap::new(),
+            unanswered_epoch: None,
         }
     }
 
+    /// Begins an epoch of this controller, whose first answer is logged.
+    pub(super) fn begin_epoch(&mut self, now: Instant, epoch: u64) {
+        self.unanswered_epoch = Some((epoch, now));
+    }
+
     /// Stores a request until the state machine answers it, and assigns its id.
     pub(super) fn register(&mut self, now: Instant, reply: ReplySender, job: JobId) -> ReplyId {
         self.last_id += 1;
@@ -71,6 +83,15 @@
     pub(super) fn answer(&mut self, reply: ReplySender, job: &JobId, answer: Answer) {
         let answer = self.terminal_states.resolve(job, answer);
         *self.answers.entry(answer.status).or_default() += 1;
+        if let Some(reason) = answer.refusal {
+            *self.refusals.entry(reason).or_default() += 1;
+        }
+        if answer.status == 200
+            && let Some((epoch, began)) = self.unanswered_epoch.take()
+        {
+            let since_acquired_ms = whole_ms(began.elapsed());
+            tracing::info!(epoch, since_acquired_ms, "first answer of the epoch");
+        }
         let _ = reply.send(answer);
     }
 
@@ -81,8 +102,16 @@
         self.answers.iter().fold(MapBuilder::new(), add).build()
     }
 
-    /// Fails all pending requests with the same reason, as their leader no longer exists.
-    pub(super) fn fail_all(&mut self, reason: &str) {
+    /// The number of refused requests about jobs, by reason.
+    pub(super) fn refusal_metrics(&self) -> Value {
+        let add = |metrics: MapBuilder, (reason, count): (&&str, &u64)| metrics.set(reason, *count);
+        self.refusals.iter().fold(MapBuilder::new(), add).build()
+    }
+
+    /// Fails all pending requests with the same reason, as their leader no longer exists and its
+    /// epoch is over.
+    pub(super) fn fail_all(&mut self, reason: &'static str) {
+        self.unanswered_epoch = None;
         for (_, PendingReply { reply, job, .. }) in std::mem::take(&mut self.pending) {
             self.answer(reply, &job, Answer::retry_later(503, reason, RETRY_AFTER_S));
         }
