Drop requests to the state service whose callers have left, instead of sending them

Cause: work for callers that have left. A read that times out frees its slot, but stayed in the client's queue and was sent in its turn, for nobody. More is asked than a leader may read as long as there is no state machine, so the first in the queue was always older than its caller's patience: nearly all reads were dead when sent, and the failover shared the rate with them.

Change: a request whose caller has left is dropped when it comes first in its queue, before it costs a token or a slot, and counted (dropped in status).

Excluded: a series of leaders (one epoch since the last fault), followers' queues (empty, they pass on the leader's 503), the scans' class (23 of 23 sent).

--- a/src/coordination/controller/status.rs
+++ b/src/coordination/controller/status.rs
@@ -55,13 +55,14 @@
     fn request_metrics(&self) -> Value {
         let statistics = self.kv.statistics();
         let add_class = |metrics: MapBuilder, class: RequestClass| {
-            let ClassStatistics { queued, oldest, sent, sent_for_nobody, longest_wait } =
+            let ClassStatistics { queued, oldest, sent, sent_for_nobody, dropped, longest_wait } =
                 statistics.of(class);
             let of_class = MapBuilder::new()
                 .set("queued", count_u32(queued))
                 .set("oldestMs", whole_ms(oldest))
                 .set("sent", sent)
                 .set("sentForNobody", sent_for_nobody)
+                .set("dropped", dropped)
                 .set("longestWaitMs", whole_ms(longest_wait));
             metrics.set(class.name(), of_class.build())
         };
--- a/src/storage/kv/queue.rs
+++ b/src/storage/kv/queue.rs
@@ -163,6 +163,17 @@
         }
     }
 
+    /// Drops the first requests of each class as long as their callers have left, and counts them.
+    /// Callers of one class have about the same patience, so those that have left are the first.
+    pub(super) fn drop_abandoned(&mut self, statistics: &mut QueueStatistics) {
+        for (queue, class) in self.queues.iter_mut().zip(&mut statistics.classes) {
+            while queue.front().is_some_and(|request| !request.is_awaited()) {
+                queue.pop_front();
+                class.dropped += 1;
+            }
+        }
+    }
+
     /// Adds a request behind all others of its class.
     pub(super) fn push_back(&mut self, request: Request) {
         self.queues[request.class() as usize].push_back(request);
--- a/src/storage/kv/statistics.rs
+++ b/src/storage/kv/statistics.rs
@@ -16,8 +16,11 @@
     pub oldest: Duration,
     /// Requests sent since the process started.
     pub sent: u64,
-    /// Those among them whose caller no longer waited for the response.
+    /// Those among them whose caller no longer waited for the response; always 0, since such requests
+    /// are dropped.
     pub sent_for_nobody: u64,
+    /// Requests dropped before they were sent, since their callers had left.
+    pub dropped: u64,
     /// Longest time that a request has waited to be sent.
     pub longest_wait: Duration,
 }
--- a/src/storage/kv/tests.rs
+++ b/src/storage/kv/tests.rs
@@ -129,11 +129,15 @@
 #[tokio::test(start_paused = true)]
 async fn waits_and_callers_that_have_left_are_counted() {
     serve_absent_keys();
-    let kv = kv_client_within(UNUSED_ADDRESS, KvSettings { rps: 10.0, ..limits(4) });
+    let kv = kv_client_within(UNUSED_ADDRESS, KvSettings { rps: 100.0, ..limits(4) });
     abandon_reads(&kv).await;
-    tokio::time::sleep(Duration::from_secs(1)).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert_eq!(kv.get(RequestClass::Background, "k").await, Ok(None));
     let statistics = kv.statistics().of(RequestClass::Completion);
     assert!(statistics.sent > 0 && statistics.longest_wait >= Duration::from_secs(1), "{statistics:?}");
+    assert!(statistics.longest_wait <= USERS_PATIENCE, "{statistics:?}");
+    assert_eq!((statistics.queued, statistics.sent_for_nobody), (0, 0), "{statistics:?}");
+    assert_eq!(statistics.sent + statistics.dropped, USERS_READS as u64, "{statistics:?}");
     assert_eq!(kv.statistics().of(RequestClass::Renewal), ClassStatistics::default());
     let mut counted = ClassStatistics::default();
     counted.record_sent(Duration::from_secs(2), true);
