--- a/src/coordination/controller/turns.rs
+++ b/src/coordination/controller/turns.rs
@@ -28,7 +28,7 @@
         match self {
             TurnKind::Role => "role",
             TurnKind::Event => "event",
-            TurnKind::Tick => "tick",
+            TurnKind::Tick => "periodic",
             TurnKind::Heartbeat => "heartbeat",
             TurnKind::Request => "request",
         }
