Add a test of starvation by a higher request class, which fails

Mechanism test: strict priority without a guaranteed part. Behind a stream of reads of a higher class above the rate, the others get no token at all. Whether production saw it is open.

--- a/src/storage/kv/tests.rs
+++ b/src/storage/kv/tests.rs
@@ -126,6 +126,35 @@
     assert!(sent.elapsed() <= USERS_PATIENCE, "answered after {:?}", sent.elapsed());
 }
 
+/// Reads of one class that never end, more than the rate serves.
+async fn read_without_end(kv: KvClient, class: RequestClass) {
+    const AT_ONCE: usize = 100;
+    let mut reads = tokio::task::JoinSet::new();
+    for number in 0.. {
+        let kv = kv.clone();
+        reads.spawn(async move { kv.get(class, &format!("k{number}")).await });
+        if number >= AT_ONCE {
+            reads.join_next().await;
+        }
+    }
+}
+
+/// Users must be answered within this time, whatever else is asked.
+const ANSWERED_WITHIN: Duration = Duration::from_secs(75);
+
+#[tokio::test(start_paused = true)]
+async fn no_class_is_starved_by_reads_of_a_higher_class_that_never_end() {
+    for class in [RequestClass::Completion, RequestClass::Progress, RequestClass::Background] {
+        serve_absent_keys();
+        let kv = kv_client_within(UNUSED_ADDRESS, KvSettings { rps: STORE_RPS, ..limits(4) });
+        let stream = tokio::spawn(read_without_end(kv.clone(), RequestClass::Admission));
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        let read = tokio::time::timeout(ANSWERED_WITHIN, kv.get(class, "k")).await;
+        stream.abort();
+        assert_eq!(read, Ok(Ok(None)), "{class:?}");
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn waits_and_callers_that_have_left_are_counted() {
     serve_absent_keys();
@@ -231,7 +260,7 @@
         server.seed(&format!("k/{n:04}"), Value::Null, n + 8).await;
     }
     server.seed("l/1", Value::Null, 9000).await;
-    assert_eq!(kv.scan("k/").await.expect("a response").len(), 1203);
+    assert_eq!(kv.scan(RequestClass::Background, "k/").await.expect("a response").len(), 1203);
 }
 
 #[test]
