Answer polls from what a new leader has read before its state machine stands

Users got no answer, or refusals only, as long as a failover lasted: a leader without state answered 503 to its peers, which passed it on, and its own users from single reads.

Cause: a fallback that cannot carry the load, and that one path had and another had not.

The writes of earlier epochs are fenced and it writes nothing before its state machine stands, so such a record is current; the answer carries epoch and lease. A job that may be cancelled through a dependency is answered once all needed records are there. Records are read before blocks of done tasks. A follower whose leader refuses, or replies something unusable, reads the record in the time that is left. Reads for users are accepted as far as the share of the rate serves them in 0.75 s; the rest is refused at once. Which source answers is a pure decision (answer_source).

--- a/src/coordination/controller/concurrency_limit.rs
+++ b/src/coordination/controller/concurrency_limit.rs
@@ -17,7 +17,13 @@
     /// successful call must be followed by one call of [`Self::release`].
     #[must_use]
     pub(super) fn try_acquire(&mut self) -> bool {
-        if self.in_flight >= self.limit {
+        self.try_acquire_within(self.limit)
+    }
+
+    /// As [`Self::try_acquire`], with a lower limit for this operation.
+    #[must_use]
+    pub(super) fn try_acquire_within(&mut self, limit: usize) -> bool {
+        if self.in_flight >= self.limit.min(limit) {
             return false;
         }
         self.in_flight += 1;
--- a/src/coordination/controller/effects.rs
+++ b/src/coordination/controller/effects.rs
@@ -3,8 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::coordination::controller::Controller;
+use tokio::time::Instant;
+
 use crate::coordination::controller::events::{InternalEvent, JobLookup};
+use crate::coordination::controller::{Controller, POLL_TIMEOUT};
 use crate::coordination::fleet::cloud::CloudCall;
 use crate::coordination::leader::effects::{Effect, OperationId};
 use crate::protocol::cbor::encode;
@@ -35,7 +37,8 @@
             Effect::LookUpJob { reply, job, if_absent } => {
                 if let Some(pending) = self.user_replies.take(reply) {
                     let reply = pending.reply;
-                    self.look_up(JobLookup { reply, job, if_absent, only_terminal: false });
+                    let deadline = Instant::now() + POLL_TIMEOUT;
+                    self.look_up(JobLookup { reply, job, if_absent, only_terminal: false, deadline });
                 }
             }
             Effect::ReadDependencies(submission) => self.read_dependencies(epoch, submission),
--- a/src/coordination/controller/events.rs
+++ b/src/coordination/controller/events.rs
@@ -9,7 +9,7 @@
 use crate::coordination::fleet::cloud::CloudResult;
 use crate::coordination::jobs::dependency_state::DependencyStates;
 use crate::coordination::leader::effects::{OperationId, UncheckedSubmission};
-use crate::coordination::recovery::snapshot::Snapshot;
+use crate::coordination::recovery::snapshot::{Snapshot, SnapshotProgress};
 use crate::protocol::jobs::{JobId, JobStatus};
 use crate::protocol::workers::Heartbeat;
 use crate::storage::kv::KvError;
@@ -96,6 +96,8 @@
     pub(super) if_absent: Answer,
     /// Whether only a terminal state may answer the request.
     pub(super) only_terminal: bool,
+    /// When the read fails; the user may leave soon after.
+    pub(super) deadline: Instant,
 }
 
 /// Another controller's reply to a request that was forwarded to it.
@@ -119,6 +121,13 @@
         /// The snapshot; `None` if the store could not be read.
         snapshot: Option<Snapshot>,
     },
+    /// A part of the snapshot for this epoch was read.
+    SnapshotProgressed {
+        /// The epoch for which the snapshot is read.
+        epoch: u64,
+        /// What was read.
+        progress: SnapshotProgress,
+    },
     /// A transaction of the leader has ended.
     CommitFinished {
         /// The leader's epoch.
--- a/src/coordination/controller/mod.rs
+++ b/src/coordination/controller/mod.rs
@@ -18,6 +18,7 @@
 //! `Controller` receives events and dispatches them. Its handlers are grouped by subject:
 //! `leader_lifecycle`, `requests`, `heartbeats`, `effects`, `tick` and `status`.
 
+mod answer_source;
 pub(crate) mod capacity;
 mod concurrency_limit;
 mod effects;
@@ -241,6 +242,9 @@
             InternalEvent::SnapshotRead { epoch, snapshot } => {
                 self.handle_snapshot_read(now, epoch, snapshot);
             }
+            InternalEvent::SnapshotProgressed { epoch, progress } => {
+                self.snapshot_loader.record_progress(epoch, progress);
+            }
             InternalEvent::CommitFinished { epoch, operation, result } => {
                 self.handle_commit_finished(now, epoch, operation, result);
             }
--- a/src/coordination/controller/record_reads.rs
+++ b/src/coordination/controller/record_reads.rs
@@ -1,5 +1,7 @@
 //! Reads of jobs' records on behalf of users, with a concurrency limit and timeouts.
 
+use std::time::Duration;
+
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
@@ -7,7 +9,7 @@
 use crate::coordination::controller::events::{InternalEvent, JobLookup, RecordRead};
 use crate::coordination::controller::{POLL_TIMEOUT, REQUEST_TIMEOUT};
 use crate::coordination::leader::effects::UncheckedSubmission;
-use crate::coordination::recovery::snapshot;
+use crate::coordination::recovery::snapshot::{self, FAILOVER_CLASS};
 use crate::protocol::jobs::{JobId, JobState, JobStatus};
 use crate::storage::kv::{KvClient, KvError, RequestClass};
 
@@ -15,6 +17,33 @@
 /// user is told to retry.
 const MAX_DEPENDENCIES_READ: usize = 64;
 
+/// Reads for users are accepted as far as they can be served in this time, half of that for which
+/// their users wait: what is queued beyond would be read too late.
+const LOOKUP_QUEUE_TIME: Duration = POLL_TIMEOUT.checked_div(2).expect("not zero");
+/// Lower bound on the concurrent reads for users.
+const MIN_LOOKUPS: usize = 4;
+/// While this controller reads its snapshot, as many reads for users are in flight at a time as reads
+/// of the snapshot, divided by this: the others would only make the failover longer.
+const SNAPSHOT_READS_PER_LOOKUP: usize = 4;
+
+/// Beside what a record is read for a user.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum LookupPurpose {
+    /// Beside the usual requests.
+    Ordinary,
+    /// Beside the snapshot that this controller reads as the new leader.
+    BesideSnapshot,
+}
+
+impl LookupPurpose {
+    fn request_class(self) -> RequestClass {
+        match self {
+            LookupPurpose::Ordinary => RequestClass::Completion,
+            LookupPurpose::BesideSnapshot => FAILOVER_CLASS,
+        }
+    }
+}
+
 /// Reads records in spawned tasks, which send the results as [`InternalEvent`]s.
 pub(super) struct RecordReads {
     kv: KvClient,
@@ -31,8 +60,12 @@
     /// Reserves one read and returns true, unless the limit is reached. A reserved read is
     /// started by [`Self::look_up`] or [`Self::read_dependencies`].
     #[must_use]
-    pub(super) fn try_acquire(&mut self) -> bool {
-        self.limit.try_acquire()
+    pub(super) fn try_acquire(&mut self, purpose: LookupPurpose) -> bool {
+        let limit = match purpose {
+            LookupPurpose::Ordinary => self.kv.reads_served_within(LOOKUP_QUEUE_TIME).max(MIN_LOOKUPS),
+            LookupPurpose::BesideSnapshot => self.kv.concurrent_reads() / SNAPSHOT_READS_PER_LOOKUP,
+        };
+        self.limit.try_acquire_within(limit)
     }
 
     /// Records that a read has ended.
@@ -41,11 +74,11 @@
     }
 
     /// Starts a reserved read of one job's record.
-    pub(super) fn look_up(&self, lookup: JobLookup) {
+    pub(super) fn look_up(&self, lookup: JobLookup, purpose: LookupPurpose) {
         let (kv, events) = (self.kv.clone(), self.events.clone());
         tokio::spawn(async move {
             let started = Instant::now();
-            let read = read_status(&kv, &lookup.job).await;
+            let read = read_status(&kv, purpose.request_class(), &lookup).await;
             let _ = events.send(InternalEvent::JobLookedUp { lookup, started, read }).await;
         });
     }
@@ -62,9 +95,9 @@
     }
 }
 
-/// Reads a job's state from its record, with a timeout that is shorter than the user's.
-async fn read_status(kv: &KvClient, job: &JobId) -> RecordRead {
-    let read = tokio::time::timeout(POLL_TIMEOUT, status_from_records(kv, job)).await;
+/// Reads a job's state from its record, until the deadline.
+async fn read_status(kv: &KvClient, class: RequestClass, lookup: &JobLookup) -> RecordRead {
+    let read = tokio::time::timeout_at(lookup.deadline, status_from_records(kv, class, &lookup.job)).await;
     match read {
         Ok(Ok(Some(status))) => RecordRead::Found(status),
         Ok(Ok(None)) => RecordRead::Absent,
@@ -76,8 +109,11 @@
 /// Determines a job's state from its record and, while the job waits for dependencies, from
 /// their records: a job with a cancelled dependency is cancelled too, even if no leader has
 /// written that yet. Otherwise the leader would answer "cancelled" and this controller "queued".
-async fn status_from_records(kv: &KvClient, job: &JobId) -> Result<Option<JobStatus>, KvError> {
-    let class = RequestClass::Completion;
+async fn status_from_records(
+    kv: &KvClient,
+    class: RequestClass,
+    job: &JobId,
+) -> Result<Option<JobStatus>, KvError> {
     let Some(record) = snapshot::read_record(kv, class, job).await? else { return Ok(None) };
     let mut status = record.status();
     if !status.state.is_terminal()
--- a/src/coordination/controller/requests.rs
+++ b/src/coordination/controller/requests.rs
@@ -5,13 +5,16 @@
 use tokio::time::Instant;
 
 use crate::coordination::authority::answers::{self, Answer, UnusableReply, Validity};
+use crate::coordination::controller::answer_source::{PollOptions, PollSource, leaves_poll_unanswered};
 use crate::coordination::controller::events::{
     ForwardedReply, JobLookup, RecordRead, ReplySender, RequestOrigin, UserRequest,
 };
 use crate::coordination::controller::peers::PeerState;
+use crate::coordination::controller::record_reads::LookupPurpose;
 use crate::coordination::controller::system_time::unix_time_ms;
 use crate::coordination::controller::user_replies::PendingReply;
 use crate::coordination::controller::{Controller, POLL_TIMEOUT, REQUEST_TIMEOUT, RETRY_AFTER_S};
+use crate::coordination::election::Role;
 use crate::coordination::jobs::cancellation::CancelOutcome;
 use crate::coordination::jobs::dependency_state::DependencyStates;
 use crate::coordination::leader::effects::UncheckedSubmission;
@@ -46,13 +49,47 @@
         }
         let request = UserRequest { call, job, reply, origin };
         match (&request.call, spec) {
+            (PeerCall::Poll(_), _) => self.poll(now, request),
             _ if !self.serves_as_leader(now) => self.forward_to_leader(request),
             (_, Some(spec)) => self.submit(now, spec, request),
-            (PeerCall::Cancel(_), _) => self.cancel(now, request),
-            _ => self.poll(now, request),
+            _ => self.cancel(now, request),
         }
     }
 
+    /// Answers a question about a job from the best source that this controller has.
+    fn poll(&mut self, now: Instant, request: UserRequest) {
+        let status = self.snapshot_loader.status(&request.job);
+        let snapshot_validity = self.snapshot_validity(now);
+        let routes = self.routing.routes_to_leader(now, request.origin);
+        let options = PollOptions {
+            serves_as_leader: self.serves_as_leader(now),
+            reads_snapshot: snapshot_validity.is_some(),
+            is_in_snapshot: status.is_some(),
+            has_route: !routes.is_empty(),
+            origin: request.origin,
+        };
+        match (options.choose(), status, snapshot_validity) {
+            (PollSource::Memory, ..) => self.poll_leader(now, request),
+            (PollSource::Snapshot, Some(status), Some(validity)) => {
+                let answer = Answer::job_state(200, status, validity);
+                self.user_replies.answer(request.reply, &request.job, answer);
+            }
+            (PollSource::Leader, ..) => self.routing.forward(request, routes),
+            (PollSource::Record, ..) => self.answer_from_record(now, request),
+            (PollSource::Snapshot | PollSource::Refusal, ..) => {
+                self.refuse(request, "no leader at the moment");
+            }
+        }
+    }
+
+    /// How long an answer from the snapshot that is being read stays valid; `None` if none is, or the
+    /// lease has expired.
+    fn snapshot_validity(&self, now: Instant) -> Option<Validity> {
+        let Role::Leader { epoch, lease_expiry } = *self.routing.role() else { return None };
+        let is_valid = self.snapshot_loader.epoch() == Some(epoch) && now < lease_expiry;
+        is_valid.then_some(Validity { epoch, valid_until: lease_expiry })
+    }
+
     /// Whether this controller's state machine handles users' requests. A leader whose lease has
     /// expired can answer few of them, so they are forwarded if another controller is known to
     /// lead.
@@ -82,11 +119,10 @@
         }
     }
 
-    fn poll(&mut self, now: Instant, request: UserRequest) {
-        let UserRequest { job, reply, .. } = request;
-        match self.leader.as_ref().and_then(|leader| leader.poll(now, &job)) {
-            Some(answer) => self.user_replies.answer(reply, &job, answer),
-            None => self.answer_from_record(reply, job),
+    fn poll_leader(&mut self, now: Instant, request: UserRequest) {
+        match self.leader.as_ref().and_then(|leader| leader.poll(now, &request.job)) {
+            Some(answer) => self.user_replies.answer(request.reply, &request.job, answer),
+            None => self.answer_from_record(now, request),
         }
     }
 
@@ -96,16 +132,18 @@
         let outcome = self.leader.as_mut().map(|leader| leader.cancel(now, id, &job));
         let is_in_memory = outcome == Some(CancelOutcome::Accepted);
         if !is_in_memory && let Some(PendingReply { reply, job, .. }) = self.user_replies.take(id) {
-            self.look_up(JobLookup { reply, job, if_absent: no_such_job(), only_terminal: true });
+            let deadline = now + POLL_TIMEOUT;
+            let if_absent = no_such_job();
+            self.look_up(JobLookup { reply, job, if_absent, only_terminal: true, deadline });
         }
     }
 
     /// Forwards a user's request to the leader, if necessary through another controller around
-    /// a network partition. A user's poll that cannot be forwarded is answered from the record.
+    /// a network partition.
     fn forward_to_leader(&mut self, request: UserRequest) {
         let routes = self.routing.routes_to_leader(Instant::now(), request.origin);
         if routes.is_empty() {
-            return self.answer_without_leader(request, "no leader at the moment");
+            return self.refuse(request, "no leader at the moment");
         }
         self.routing.forward(request, routes);
     }
@@ -113,23 +151,28 @@
     /// Answers a request that could not be forwarded to the leader: a user's poll from the
     /// record, any other request with a failure.
     pub(super) fn answer_without_leader(&mut self, request: UserRequest, reason: &'static str) {
-        let UserRequest { call, job, reply, origin } = request;
-        match call {
-            PeerCall::Poll(_) if origin == RequestOrigin::User => self.answer_from_record(reply, job),
-            _ => {
-                let failure = Answer::retry_later(503, reason, RETRY_AFTER_S);
-                self.user_replies.answer(reply, &job, failure);
+        match request.call {
+            PeerCall::Poll(_) if request.origin == RequestOrigin::User => {
+                self.answer_from_record(Instant::now(), request);
             }
+            _ => self.refuse(request, reason),
         }
     }
 
-    /// Answers with another controller's reply if it is usable, otherwise with a failure.
+    /// Tells the sender of a request to retry.
+    fn refuse(&mut self, request: UserRequest, reason: &'static str) {
+        let failure = Answer::retry_later(503, reason, RETRY_AFTER_S);
+        self.user_replies.answer(request.reply, &request.job, failure);
+    }
+
+    /// Answers with another controller's reply if it is usable. If it is not, or a refusal, a user's
+    /// poll is answered from the record in the time that is left; any other request fails.
     pub(super) fn handle_forwarded_reply(&mut self, forwarded: ForwardedReply) {
         let ForwardedReply { request, peer, forwarded_at, peer_reply } = forwarded;
-        let UserRequest { call, job, reply, .. } = request;
+        let UserRequest { call, job, .. } = &request;
         let fresh_until = forwarded_at + REQUEST_TIMEOUT;
         let newest_epoch = self.routing.newest_epoch(Instant::now());
-        let usable = answers::from_peer_reply(peer_reply, &job, forwarded_at, fresh_until, newest_epoch)
+        let usable = answers::from_peer_reply(peer_reply, job, forwarded_at, fresh_until, newest_epoch)
             .and_then(|answer| match call {
                 PeerCall::Cancel(_) => require_terminal(answer),
                 _ => Ok(answer),
@@ -138,20 +181,32 @@
             tracing::error!(%job, %peer, %error, "reply of another controller rejected");
             Answer::retry_later(503, "try again", RETRY_AFTER_S)
         });
-        self.user_replies.answer(reply, &job, answer);
+        let is_users_poll = matches!(call, PeerCall::Poll(_)) && request.origin == RequestOrigin::User;
+        if is_users_poll && leaves_poll_unanswered(&answer) && Instant::now() < forwarded_at + POLL_TIMEOUT {
+            return self.answer_from_record(forwarded_at, request);
+        }
+        self.user_replies.answer(request.reply, &request.job, answer);
     }
 
-    /// Answers from the record, which alone determines whether a job was ever admitted.
-    fn answer_from_record(&mut self, reply: ReplySender, job: JobId) {
-        self.look_up(JobLookup { reply, job, if_absent: no_such_job(), only_terminal: false });
+    /// Answers a poll from the record, which alone determines whether a job was ever admitted. The
+    /// time for which its user waits is counted from `since`.
+    fn answer_from_record(&mut self, since: Instant, request: UserRequest) {
+        let UserRequest { job, reply, .. } = request;
+        let deadline = since + POLL_TIMEOUT;
+        self.look_up(JobLookup { reply, job, if_absent: no_such_job(), only_terminal: false, deadline });
     }
 
     /// Reads a job's record for a user; answers with a failure if too many reads are in flight.
     pub(super) fn look_up(&mut self, lookup: JobLookup) {
-        if !self.record_reads.try_acquire() {
+        let purpose = if self.snapshot_loader.epoch().is_some() {
+            LookupPurpose::BesideSnapshot
+        } else {
+            LookupPurpose::Ordinary
+        };
+        if !self.record_reads.try_acquire(purpose) {
             return self.user_replies.answer(lookup.reply, &lookup.job, too_many_requests());
         }
-        self.record_reads.look_up(lookup);
+        self.record_reads.look_up(lookup, purpose);
     }
 
     /// Answers a user after the job's record was read. A terminal state in the record is the
@@ -160,7 +215,10 @@
     /// be the answer, the user is told to retry instead.
     pub(super) fn handle_job_looked_up(&mut self, lookup: JobLookup, started: Instant, read: RecordRead) {
         self.record_reads.release();
-        let JobLookup { reply, job, if_absent, only_terminal } = lookup;
+        let JobLookup { reply, job, if_absent, only_terminal, .. } = lookup;
+        if let RecordRead::Found(status) = &read {
+            self.snapshot_loader.record_lookup(started, status);
+        }
         let answer = match read {
             RecordRead::Absent => if_absent,
             RecordRead::Unreadable => Answer::retry_later(503, "unreadable record", UNREADABLE_RETRY_AFTER_S),
@@ -184,7 +242,7 @@
     /// Reads the records of the jobs that a submission depends on; answers with a failure if too
     /// many reads are in flight.
     pub(super) fn read_dependencies(&mut self, epoch: u64, submission: Box<UncheckedSubmission>) {
-        if !self.record_reads.try_acquire() {
+        if !self.record_reads.try_acquire(LookupPurpose::Ordinary) {
             return self.user_replies.answer_pending(submission.reply, too_many_requests());
         }
         self.record_reads.read_dependencies(epoch, submission);
--- a/src/coordination/controller/snapshot_loader.rs
+++ b/src/coordination/controller/snapshot_loader.rs
@@ -1,4 +1,5 @@
-//! Reads the snapshot from which a newly elected leader starts.
+//! Reads the snapshot from which a newly elected leader starts, and holds what is known of jobs until
+//! it is complete.
 
 use std::time::Duration;
 
@@ -8,8 +9,10 @@
 
 use crate::coordination::config::Config;
 use crate::coordination::controller::events::InternalEvent;
-use crate::coordination::recovery::snapshot::read_snapshot;
-use crate::numeric::whole_ms;
+use crate::coordination::recovery::recorded_jobs::{RecordedJob, RecordedJobs};
+use crate::coordination::recovery::snapshot::{SnapshotObserver, SnapshotProgress, read_snapshot};
+use crate::numeric::{count_u32, whole_ms};
+use crate::protocol::jobs::{JobId, JobStatus};
 use crate::storage::kv::KvClient;
 
 /// The leader's lease divided by this is the pause before a failed read is repeated. Without a
@@ -37,6 +40,23 @@
     started_at: Instant,
     /// When it is logged that the snapshot is not complete yet.
     log_at: Instant,
+    /// Number of unfinished jobs; `None` until the live rows have been read.
+    jobs: Option<usize>,
+    /// The jobs whose records have been read in this epoch.
+    recorded: RecordedJobs,
+}
+
+/// Sends the progress of reading to the controller.
+#[derive(Clone)]
+struct ProgressSender {
+    epoch: u64,
+    events: mpsc::Sender<InternalEvent>,
+}
+
+impl SnapshotObserver for ProgressSender {
+    async fn observe(&self, progress: SnapshotProgress) {
+        let _ = self.events.send(InternalEvent::SnapshotProgressed { epoch: self.epoch, progress }).await;
+    }
 }
 
 impl SnapshotLoader {
@@ -61,14 +81,45 @@
         let (value_kb, retry_pause) = (self.value_kb, self.retry_pause);
         let started_at = Instant::now();
         let task = tokio::spawn(async move {
-            let snapshot = read_snapshot(&kv, value_kb).await.ok();
+            let observer = ProgressSender { epoch, events: events.clone() };
+            let snapshot = read_snapshot(&kv, value_kb, &observer).await.ok();
             if snapshot.is_none() {
                 tokio::time::sleep(retry_pause).await;
             }
             let _ = events.send(InternalEvent::SnapshotRead { epoch, snapshot }).await;
         });
         let (task, log_at) = (task.abort_handle(), started_at + self.lease);
-        self.reading = Some(Reading { task, epoch, started_at, log_at });
+        let recorded = RecordedJobs::default();
+        self.reading = Some(Reading { task, epoch, started_at, log_at, jobs: None, recorded });
+    }
+
+    /// The epoch for which a snapshot is being read, if one is.
+    pub(super) fn epoch(&self) -> Option<u64> {
+        self.reading.as_ref().map(|reading| reading.epoch)
+    }
+
+    /// Records the progress of the snapshot of this epoch.
+    pub(super) fn record_progress(&mut self, epoch: u64, progress: SnapshotProgress) {
+        let Some(reading) = self.reading.as_mut().filter(|reading| reading.epoch == epoch) else { return };
+        match progress {
+            SnapshotProgress::RowsRead { jobs } => reading.jobs = Some(jobs),
+            SnapshotProgress::JobRead(job) => reading.recorded.insert(job),
+            SnapshotProgress::DependencyRead(job, state) => reading.recorded.insert_dependency(job, state),
+        }
+    }
+
+    /// Records that a read for a user has found an unfinished job, if it began in the epoch of the
+    /// snapshot. Terminal states are cached elsewhere.
+    pub(super) fn record_lookup(&mut self, began: Instant, status: &JobStatus) {
+        let reading = self.reading.as_mut().filter(|reading| began >= reading.started_at);
+        if let Some(reading) = reading.filter(|_| !status.state.is_terminal()) {
+            reading.recorded.insert(RecordedJob::decided(status.clone()));
+        }
+    }
+
+    /// The job's status, if it is known while the snapshot is being read.
+    pub(super) fn status(&mut self, job: &JobId) -> Option<JobStatus> {
+        self.reading.as_mut()?.recorded.status(job)
     }
 
     /// Records that the snapshot is complete; returns how long reading it has taken.
@@ -81,7 +132,9 @@
         let Some(reading) = self.reading.as_mut().filter(|reading| now >= reading.log_at) else { return };
         reading.log_at = now + self.lease;
         let reading_ms = whole_ms(now - reading.started_at);
-        tracing::error!(epoch = reading.epoch, reading_ms, "leader without state, snapshot incomplete");
+        let (epoch, jobs) = (reading.epoch, reading.jobs.map(count_u32));
+        let records_read = reading.recorded.job_count();
+        tracing::error!(epoch, reading_ms, jobs, records_read, "leader without state, snapshot incomplete");
     }
 
     /// Stops reading, since the epoch is over.
--- a/src/coordination/recovery/mod.rs
+++ b/src/coordination/recovery/mod.rs
@@ -7,5 +7,6 @@
 pub mod failover;
 pub mod progress;
 pub mod reconciler;
+pub mod recorded_jobs;
 pub mod snapshot;
 pub mod unreadable;
--- a/src/coordination/recovery/reconciler.rs
+++ b/src/coordination/recovery/reconciler.rs
@@ -191,7 +191,7 @@
     from: &str,
     max_keys: usize,
 ) -> Result<JobPage, KvError> {
-    let page = kv.read_page(prefix, from, max_keys).await?;
+    let page = kv.read_page(RequestClass::Background, prefix, from, max_keys).await?;
     let next = page.more.then(|| page.entries.last().map(|entry| entry.key.clone())).flatten();
     let job_of = |entry: &Entry| JobId::parse(entry.key.strip_prefix(prefix)?);
     let jobs = page.entries.iter().filter_map(job_of).collect();
@@ -205,7 +205,7 @@
 ///
 /// If the store cannot be read.
 pub async fn unreadable_node_pools(kv: &KvClient) -> Result<Vec<String>, KvError> {
-    let entries = kv.scan(NODE_POOLS).await?;
+    let entries = kv.scan(RequestClass::Background, NODE_POOLS).await?;
     let unreadable = entries.into_iter().filter(|entry| NodePoolRecord::decode(&entry.value).is_err());
     Ok(unreadable.map(|entry| entry.key).collect())
 }
--- a/src/coordination/recovery/snapshot.rs
+++ b/src/coordination/recovery/snapshot.rs
@@ -7,6 +7,7 @@
 
 use crate::coordination::jobs::dependency_state::{DependencyState, DependencyStates};
 use crate::coordination::recovery::reconciler::{self, Finding, JobPage};
+use crate::coordination::recovery::recorded_jobs::RecordedJob;
 use crate::coordination::recovery::unreadable::UnreadableRecords;
 use crate::maps::HashSet;
 use crate::protocol::cloud::{MachineType, decode_catalog};
@@ -17,6 +18,10 @@
     NodePoolRecord, RecordError, job_record_key, live_row_key,
 };
 
+/// The class of all reads of a failover. Users' reads at a leader that reads its snapshot have it too,
+/// so that neither kind is starved by the other.
+pub const FAILOVER_CLASS: RequestClass = RequestClass::Admission;
+
 /// Data that a leader has read from the store: at failover everything that it needs, later
 /// the part that was repaired or read again. Each number paired with a value is the version
 /// of its key in the store.
@@ -40,6 +45,31 @@
     pub deleted_keys: Vec<String>,
 }
 
+/// A step of reading the snapshot for a failover.
+#[derive(Debug)]
+pub enum SnapshotProgress {
+    /// The live rows have been read; there are this many unfinished jobs.
+    RowsRead {
+        /// Number of unfinished jobs.
+        jobs: usize,
+    },
+    /// The record of an unfinished job has been read.
+    JobRead(RecordedJob),
+    /// The record of a job on which unfinished jobs depend has been read.
+    DependencyRead(JobId, DependencyState),
+}
+
+/// Learns of the progress of a snapshot that is being read.
+pub trait SnapshotObserver: Clone + Send + Sync + 'static {
+    /// Called for each step. The reads wait until it returns.
+    fn observe(&self, progress: SnapshotProgress) -> impl Future<Output = ()> + Send;
+}
+
+/// Ignores the progress.
+impl SnapshotObserver for () {
+    async fn observe(&self, _progress: SnapshotProgress) {}
+}
+
 /// An unfinished job as it is stored.
 #[derive(Debug)]
 pub struct JobSnapshot {
@@ -113,7 +143,7 @@
             }
         }
     }
-    restored.dependency_states = read_dependencies_of(kv, &restored.jobs).await?;
+    restored.dependency_states = read_dependencies_of(kv, &restored.jobs, &()).await?;
     Ok(ReconciledPage { next: next.unwrap_or_default(), restored })
 }
 
@@ -138,58 +168,120 @@
             }
         }
     }
-    reread.dependency_states = read_dependencies_of(kv, &reread.jobs).await?;
+    reread.dependency_states = read_dependencies_of(kv, &reread.jobs, &()).await?;
     Ok(reread)
 }
 
 /// Reads the snapshot for a failover: all unfinished jobs, the node pools, the catalog and
-/// the learned statistics.
+/// the learned statistics. The records of jobs come before the blocks of their done tasks, since
+/// users can be answered from the records.
 ///
 /// # Errors
 ///
 /// If the store cannot be read. A record that cannot be used is no error: it is listed in
 /// [`Snapshot::unreadable`].
-pub async fn read_snapshot(kv: &KvClient, value_kb: f64) -> Result<Snapshot, KvError> {
+pub async fn read_snapshot(
+    kv: &KvClient,
+    value_kb: f64,
+    observer: &impl SnapshotObserver,
+) -> Result<Snapshot, KvError> {
     let mut snapshot = Snapshot::default();
-    for entry in kv.scan(NODE_POOLS).await? {
+    let live_jobs = scan_live_jobs(kv).await?;
+    observer.observe(SnapshotProgress::RowsRead { jobs: live_jobs.len() }).await;
+    let jobs = read_live_records(kv, live_jobs, observer, &mut snapshot).await?;
+    snapshot.dependency_states = read_dependencies_of(kv, &jobs, observer).await?;
+    let all_readable = read_blocks_of(kv, value_kb, jobs, &mut snapshot).await?;
+    if !all_readable {
+        // A job whose blocks cannot be used is no longer among the jobs, but others may depend on it.
+        snapshot.dependency_states = read_dependencies_of(kv, &snapshot.jobs, &()).await?;
+    }
+    read_fleet(kv, &mut snapshot).await?;
+    Ok(snapshot)
+}
+
+/// Reads the node pools, the catalog and the learned statistics.
+async fn read_fleet(kv: &KvClient, snapshot: &mut Snapshot) -> Result<(), KvError> {
+    for entry in kv.scan(FAILOVER_CLASS, NODE_POOLS).await? {
         snapshot.add_node_pool(&entry.key, &entry.value, entry.version);
     }
-    if let Some(entry) = kv.get(RequestClass::Background, CATALOG).await?
+    if let Some(entry) = kv.get(FAILOVER_CLASS, CATALOG).await?
         && let Ok(types) = decode_catalog(&entry.value)
     {
         snapshot.catalog = Some((types, entry.version));
     }
-    if let Some(entry) = kv.get(RequestClass::Background, LEARNED_STATISTICS).await? {
+    if let Some(entry) = kv.get(FAILOVER_CLASS, LEARNED_STATISTICS).await? {
         // Statistics that cannot be decoded are replaced by the next write, which needs the
         // version of the key.
         let statistics = LearnedStatistics::decode(&entry.value).unwrap_or_default();
         snapshot.statistics = Some((statistics, entry.version));
     }
-    read_live_jobs(kv, value_kb, &mut snapshot).await?;
-    snapshot.dependency_states = read_dependencies_of(kv, &snapshot.jobs).await?;
-    Ok(snapshot)
+    Ok(())
 }
 
-/// Adds all jobs with a live row to the snapshot; their records are read concurrently.
-async fn read_live_jobs(kv: &KvClient, value_kb: f64, snapshot: &mut Snapshot) -> Result<(), KvError> {
+/// A job with a live row, and the version of that row's key.
+type LiveJob = (JobId, u64);
+
+/// Reads which jobs are unfinished.
+async fn scan_live_jobs(kv: &KvClient) -> Result<Vec<LiveJob>, KvError> {
     let mut live_jobs = Vec::new();
-    for row in kv.scan(LIVE_ROWS).await? {
+    for row in kv.scan(FAILOVER_CLASS, LIVE_ROWS).await? {
         match row.key.strip_prefix(LIVE_ROWS).and_then(JobId::parse) {
             Some(job) => live_jobs.push((job, row.version)),
             None => tracing::error!(key = %row.key, "live row without a valid job id ignored"),
         }
     }
+    Ok(live_jobs)
+}
+
+/// Reads the records of these jobs concurrently, without their blocks of done tasks. Records that
+/// cannot be used are added to the snapshot.
+async fn read_live_records(
+    kv: &KvClient,
+    live_jobs: Vec<LiveJob>,
+    observer: &impl SnapshotObserver,
+    snapshot: &mut Snapshot,
+) -> Result<Vec<JobSnapshot>, KvError> {
     let reads = live_jobs.into_iter().map(|(job, live_row_version)| {
-        let kv = kv.clone();
+        let (kv, observer) = (kv.clone(), observer.clone());
         async move {
-            let outcome = read_job(&kv, &job, live_row_version, value_kb).await?;
+            let outcome = read_job_record(&kv, &job, live_row_version).await?;
+            if let Ok(read) = &outcome {
+                observer.observe(SnapshotProgress::JobRead(RecordedJob::of(&read.record))).await;
+            }
             Ok((job, outcome))
         }
     });
+    let mut jobs = Vec::new();
     for (job, outcome) in read_concurrently(kv, reads).await? {
+        match outcome {
+            Ok(read) => jobs.push(*read),
+            Err(reason) => snapshot.unreadable.add_job(&job, reason.to_string()),
+        }
+    }
+    Ok(jobs)
+}
+
+/// Reads the blocks of done tasks of these jobs concurrently, and adds the jobs to the snapshot.
+/// Returns whether all of them can be used.
+async fn read_blocks_of(
+    kv: &KvClient,
+    value_kb: f64,
+    jobs: Vec<JobSnapshot>,
+    snapshot: &mut Snapshot,
+) -> Result<bool, KvError> {
+    let (with_blocks, complete): (Vec<_>, Vec<_>) =
+        jobs.into_iter().partition(|job| job.record.block_count(value_kb) > 0);
+    snapshot.jobs = complete;
+    let reads = with_blocks.into_iter().map(|job| {
+        let kv = kv.clone();
+        async move { Ok((job.record.spec.id.clone(), read_blocks(&kv, Box::new(job), value_kb).await?)) }
+    });
+    let mut all_readable = true;
+    for (job, outcome) in read_concurrently(kv, reads).await? {
+        all_readable &= outcome.is_ok();
         snapshot.add_job(&job, outcome);
     }
-    Ok(())
+    Ok(all_readable)
 }
 
 /// Runs reads concurrently, as many at a time as the request rate can serve without a long queue.
@@ -226,7 +318,11 @@
 }
 
 /// Reads the states of the dependencies of these jobs that are not among the jobs themselves.
-async fn read_dependencies_of(kv: &KvClient, jobs: &[JobSnapshot]) -> Result<DependencyStates, KvError> {
+async fn read_dependencies_of(
+    kv: &KvClient,
+    jobs: &[JobSnapshot],
+    observer: &impl SnapshotObserver,
+) -> Result<DependencyStates, KvError> {
     let own_ids: HashSet<&JobId> = jobs.iter().map(|job| &job.record.spec.id).collect();
     let waiting = jobs.iter().map(|job| &job.record).filter(|record| record.may_wait_for_dependencies());
     let dependencies: HashSet<JobId> = waiting
@@ -234,7 +330,7 @@
         .filter(|dependency| !own_ids.contains(dependency))
         .cloned()
         .collect();
-    read_dependency_states(kv, dependencies.into_iter().collect()).await
+    read_observed_dependencies(kv, dependencies.into_iter().collect(), observer).await
 }
 
 /// Reads the states of jobs on which others depend. An unusable record gives
@@ -244,14 +340,23 @@
 ///
 /// If the store cannot be read.
 pub async fn read_dependency_states(kv: &KvClient, jobs: Vec<JobId>) -> Result<DependencyStates, KvError> {
+    read_observed_dependencies(kv, jobs, &()).await
+}
+
+async fn read_observed_dependencies(
+    kv: &KvClient,
+    jobs: Vec<JobId>,
+    observer: &impl SnapshotObserver,
+) -> Result<DependencyStates, KvError> {
     let reads = jobs.into_iter().map(|job| {
-        let kv = kv.clone();
+        let (kv, observer) = (kv.clone(), observer.clone());
         async move {
-            let state = match read_record(&kv, RequestClass::Admission, &job).await {
+            let state = match read_record(&kv, FAILOVER_CLASS, &job).await {
                 Ok(record) => DependencyState::of(record.as_ref()),
                 Err(KvError::Rejected) => DependencyState::Unreadable,
                 Err(error) => return Err(error),
             };
+            observer.observe(SnapshotProgress::DependencyRead(job.clone(), state)).await;
             Ok((job, state))
         }
     });
@@ -352,23 +457,42 @@
     live_row_version: u64,
     value_kb: f64,
 ) -> Result<JobReadOutcome, KvError> {
-    let Some(entry) = kv.get(RequestClass::Admission, &job_record_key(job)).await? else {
+    match read_job_record(kv, job, live_row_version).await? {
+        Ok(read) => read_blocks(kv, read, value_kb).await,
+        unusable => Ok(unusable),
+    }
+}
+
+/// Reads the record of an unfinished job, without the blocks of its done tasks.
+async fn read_job_record(
+    kv: &KvClient,
+    job: &JobId,
+    live_row_version: u64,
+) -> Result<JobReadOutcome, KvError> {
+    let Some(entry) = kv.get(FAILOVER_CLASS, &job_record_key(job)).await? else {
         return Ok(Err(UnusableJob::NoRecord));
     };
-    let mut record = match decode_record(job, &entry.value) {
-        Ok(record) => record,
-        Err(reason) => return Ok(Err(reason)),
-    };
-    let mut block_versions = Vec::new();
-    let layout = record.layout(value_kb);
-    for block in 0..layout.blocks(record.spec.task_count) {
-        let stored = kv.get(RequestClass::Admission, &layout.block_key(&record.spec.id, block)).await?;
-        block_versions.push(stored.as_ref().map_or(0, |entry| entry.version));
-        if let Some(Err(source)) = stored.map(|entry| record.add_block(&entry.value)) {
+    Ok(decode_record(job, &entry.value).map(|record| {
+        let block_versions = Vec::new();
+        Box::new(JobSnapshot { record, record_version: entry.version, live_row_version, block_versions })
+    }))
+}
+
+/// Adds the blocks of its done tasks to a job whose record has been read.
+async fn read_blocks(
+    kv: &KvClient,
+    mut job: Box<JobSnapshot>,
+    value_kb: f64,
+) -> Result<JobReadOutcome, KvError> {
+    let layout = job.record.layout(value_kb);
+    for block in 0..job.record.block_count(value_kb) {
+        let stored = kv.get(FAILOVER_CLASS, &layout.block_key(&job.record.spec.id, block)).await?;
+        job.block_versions.push(stored.as_ref().map_or(0, |entry| entry.version));
+        if let Some(Err(source)) = stored.map(|entry| job.record.add_block(&entry.value)) {
             // It is unknown which of its tasks are done, and a done task must not start
             // again: the job as a whole cannot be used.
             return Ok(Err(UnusableJob::DoneBlock { block, source }));
         }
     }
-    Ok(Ok(Box::new(JobSnapshot { record, record_version: entry.version, live_row_version, block_versions })))
+    Ok(Ok(job))
 }
--- a/src/storage/kv.rs
+++ b/src/storage/kv.rs
@@ -140,6 +140,12 @@
         whole_usize(self.limits().rps * READ_AHEAD_S).max(MIN_CONCURRENT_READS)
     }
 
+    /// Number of reads that this controller's share of the request rate serves in this time, if
+    /// there are no other requests.
+    pub fn reads_served_within(&self, time: Duration) -> usize {
+        whole_usize(self.statistics().request_rate * time.as_secs_f64())
+    }
+
     /// The store's limits in force, as far as known.
     pub fn limits(&self) -> KvLimits {
         *self.limits.borrow()
@@ -220,14 +226,26 @@
     /// [`KvError::Rejected`] if the store rejects the request, [`KvError::Unavailable`] if
     /// there was no usable response and this client does not repeat reads. A page with keys of
     /// another prefix, or one that is empty although more keys are to follow, is not usable.
-    pub async fn read_page(&self, prefix: &str, from: &str, most: usize) -> Result<Page, KvError> {
-        self.retrying(|| self.read_page_once(prefix, from, most)).await
+    pub async fn read_page(
+        &self,
+        class: RequestClass,
+        prefix: &str,
+        from: &str,
+        most: usize,
+    ) -> Result<Page, KvError> {
+        self.retrying(|| self.read_page_once(class, prefix, from, most)).await
     }
 
-    async fn read_page_once(&self, prefix: &str, from: &str, most: usize) -> Result<Page, KvError> {
+    async fn read_page_once(
+        &self,
+        class: RequestClass,
+        prefix: &str,
+        from: &str,
+        most: usize,
+    ) -> Result<Page, KvError> {
         let after = if from.is_empty() { String::new() } else { format!("&from={from}") };
         let target = format!("/keys?starts={prefix}{after}&page={most}");
-        let value = self.read(RequestClass::Background, target).await?.ok_or(KvError::Unavailable)?;
+        let value = self.read(class, target).await?.ok_or(KvError::Unavailable)?;
         let page = decode_page(&value).map_err(|_| KvError::Unavailable)?;
         let prefix_matches = page.entries.iter().all(|entry| entry.key.starts_with(prefix));
         let makes_progress = !page.more || !page.entries.is_empty();
@@ -240,11 +258,11 @@
     /// # Errors
     ///
     /// As [`KvClient::read_page`].
-    pub async fn scan(&self, prefix: &str) -> Result<Vec<Entry>, KvError> {
+    pub async fn scan(&self, class: RequestClass, prefix: &str) -> Result<Vec<Entry>, KvError> {
         let mut found: Vec<Entry> = Vec::new();
         loop {
             let from = found.last().map(|entry| entry.key.clone()).unwrap_or_default();
-            let page = self.read_page(prefix, &from, SCAN_PAGE_SIZE).await?;
+            let page = self.read_page(class, prefix, &from, SCAN_PAGE_SIZE).await?;
             let more = page.more;
             found.extend(page.entries);
             if !more {
--- a/src/storage/kv/actor.rs
+++ b/src/storage/kv/actor.rs
@@ -161,6 +161,7 @@
                     let leading = *is_leader.borrow_and_update();
                     let limits = *self.limits_in_force.borrow();
                     self.rates.set_share(RateShare { controllers, leading }, limits);
+                    self.publish_at = now;
                 }
                 Some(request) = inboxes.renewals.recv() => self.queues.push_back(request),
                 Some(finished) = inboxes.responses.recv() => self.handle_finished(finished),
@@ -213,6 +214,7 @@
         }
         self.publish_at = now + STATISTICS_INTERVAL;
         self.queues.measure(now, &mut self.statistics);
+        self.statistics.request_rate = self.rates.request_rate(*self.limits_in_force.borrow());
         self.published_statistics.send_replace(self.statistics);
     }
 
@@ -221,6 +223,9 @@
     fn record_sent(&mut self, now: Instant, request: &Request) {
         let (class, wait) = (request.class(), now - request.since());
         self.statistics.classes[class as usize].record_sent(wait, request.is_awaited());
+        if !request.is_awaited() {
+            tracing::error!(class = class.name(), "request sent although its caller has left");
+        }
         if class == RequestClass::Renewal && wait > self.deadline {
             tracing::error!(wait_ms = whole_ms(wait), "request of the election waited in the client");
         }
--- a/src/storage/kv/rates.rs
+++ b/src/storage/kv/rates.rs
@@ -84,6 +84,11 @@
         RateLimits { share, requests, writes }
     }
 
+    /// This controller's share of the store's request rate, in requests per second.
+    pub(super) fn request_rate(&self, limits: KvLimits) -> f64 {
+        limits.rps * self.share.ratio()
+    }
+
     /// Replaces the buckets by full ones for another share of the limits.
     pub(super) fn set_share(&mut self, share: RateShare, limits: KvLimits) {
         *self = RateLimits::new(share, limits);
--- a/src/storage/kv/statistics.rs
+++ b/src/storage/kv/statistics.rs
@@ -39,6 +39,8 @@
 pub struct QueueStatistics {
     /// Indexed by class.
     pub(super) classes: [ClassStatistics; CLASS_COUNT],
+    /// This controller's share of the store's request rate, in requests per second.
+    pub(super) request_rate: f64,
 }
 
 impl QueueStatistics {
--- a/src/storage/records/job_record.rs
+++ b/src/storage/records/job_record.rs
@@ -68,6 +68,11 @@
         self.block_tasks.map_or_else(|| Layout::derived(self.spec.task_count, value_kb), Layout::NamedBlocks)
     }
 
+    /// Number of blocks in which its done tasks are stored; 0 if the record itself holds them.
+    pub fn block_count(&self, value_kb: f64) -> u32 {
+        self.layout(value_kb).blocks(self.spec.task_count)
+    }
+
     /// Encodes the record for a store whose values are at most `value_kb` KiB. Done tasks are
     /// included if the layout keeps them in the record.
     pub fn encode(&self, value_kb: f64) -> Value {
