Let the soak judge submissions after the faults, and failovers longer than leases

A user whose submission is not accepted for 75 s after all faults is a finding now (NotAccepted), and so is a request to the state service sent for nobody, which status counts. The checker's tests have for the new rule histories that break it and that just do not.

--- a/tests/soak/checker.rs
+++ b/tests/soak/checker.rs
@@ -29,6 +29,8 @@
     /// A valid submission was rejected, an accepted job was later reported as unknown or rejected,
     /// or requests about it stopped getting responses.
     Forgotten,
+    /// A valid submission was not accepted for too long after all faults had ended.
+    NotAccepted,
     /// A controller did not answer about an accepted job for too long after all faults had ended.
     Unanswered,
     /// A job that was never submitted was reported as existing, or was started.
@@ -106,6 +108,7 @@
 /// What has been observed about a job so far.
 #[derive(Debug, Default, Clone)]
 struct ObservedJob {
+    submission_begun_at: Option<Elapsed>,
     accepted_at: Option<Elapsed>,
     cancel_requested_at: Option<Elapsed>,
     /// The first terminal state that a user received, and when.
@@ -182,6 +185,9 @@
             Event::ResponseReceived { job, request, sent_at, controller, status, state } => {
                 self.handle_response(at, *job, *request, *sent_at, *controller, (*status, *state));
             }
+            Event::SubmissionBegun { job } => {
+                self.observed_jobs[*job].submission_begun_at.get_or_insert(at);
+            }
             Event::CancelRequested { job } => {
                 self.observed_jobs[*job].cancel_requested_at.get_or_insert(at);
             }
@@ -368,6 +374,7 @@
                 self.add_finding(Rule::Forgotten, at, description);
             }
             (200 | 201, Some(state)) => {
+                self.check_acceptance_delay(at, job);
                 self.check_answer_gap(at, job, controller);
                 let observed = &mut self.observed_jobs[job];
                 observed.accepted_at.get_or_insert(at);
@@ -379,6 +386,20 @@
         }
     }
 
+    /// Checks that a submission that is accepted now, or has not been by the end of the run, did not
+    /// wait for too long since it began and all faults ended.
+    fn check_acceptance_delay(&mut self, at: Elapsed, job: usize) {
+        let observed = &self.observed_jobs[job];
+        let Some(begun_at) = observed.submission_begun_at.filter(|_| observed.accepted_at.is_none()) else {
+            return;
+        };
+        let since = begun_at.max(self.parameters.all_faults_end_at);
+        if at > since + self.parameters.answer_within + self.parameters.max_lag {
+            let description = format!("{}: not accepted since {since:?}", self.name(job));
+            self.add_finding(Rule::NotAccepted, at, description);
+        }
+    }
+
     /// Checks that a controller that answers about an accepted job, or has not by the end of the run,
     /// did so in time since its last answer, the acceptance and the end of all faults.
     fn check_answer_gap(&mut self, at: Elapsed, job: usize, controller: usize) {
@@ -446,6 +467,7 @@
             self.add_finding(Rule::NothingRan, end, "no task was started".into());
         }
         for job in 0..self.jobs.len() {
+            self.check_acceptance_delay(end, job);
             for controller in 0..self.parameters.controllers {
                 self.check_answer_gap(end, job, controller);
             }
--- a/tests/soak/checker_tests.rs
+++ b/tests/soak/checker_tests.rs
@@ -323,6 +323,26 @@
     assert_does_not_find(Rule::Unanswered, &jobs, &answered_at(&[1.0, 70.0, 145.2]));
 }
 
+#[test]
+fn a_submission_that_is_not_accepted_for_too_long_after_all_faults_is_reported() {
+    let jobs = vec![job(0, &[])];
+    let accepted_at = |begun_at: f64, at: f64| {
+        let submitted = response(0, UserRequest::Submit, at - 0.1, 201, Some(JobState::Queued));
+        vec![(begun_at, Event::SubmissionBegun { job: 0 }), (at, submitted)]
+    };
+    // All faults end at 65 s; 75 s and the allowed lag later is 140.4 s.
+    assert_finds(Rule::NotAccepted, &jobs, &accepted_at(1.0, 140.6));
+    assert_does_not_find(Rule::NotAccepted, &jobs, &accepted_at(1.0, 140.2));
+    assert_finds(Rule::NotAccepted, &jobs, &accepted_at(80.0, 155.6));
+    assert_does_not_find(Rule::NotAccepted, &jobs, &accepted_at(80.0, 155.2));
+    let never = |end: f64| {
+        let history = [Entry { at: seconds(1.0), event: Event::SubmissionBegun { job: 0 } }];
+        let parameters = CheckParameters { end: seconds(end), ..parameters() };
+        check(&jobs, &parameters, &history).into_iter().any(|finding| finding.rule == Rule::NotAccepted)
+    };
+    assert!(never(140.6) && !never(140.2));
+}
+
 #[test]
 fn a_controller_that_never_answers_about_a_job_is_reported_although_others_do() {
     let from = |controller, at: f64, status, state| {
--- a/tests/soak/cluster.rs
+++ b/tests/soak/cluster.rs
@@ -61,7 +61,7 @@
         recorder: Recorder,
     ) -> std::io::Result<Self> {
         let count = if seed % 3 == 2 { 5 } else { 3 };
-        let rates = KvRates::of_backlog(options.backlog);
+        let rates = KvRates::of_backlog(options.backlog, options.request_rate);
         let records = jobs::backlog_records(jobs);
         let kv = KvServer::start(seed, count, rates, &records, recorder.clone()).await?;
         let program = std::env::var_os(PROGRAM).map(PathBuf::from);
--- a/tests/soak/history.rs
+++ b/tests/soak/history.rs
@@ -34,6 +34,8 @@
 /// An observed event. Jobs and controllers are identified by index.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Event {
+    /// A user is about to submit a job. Recorded once for all retries of the request.
+    SubmissionBegun { job: usize },
     /// A user received a response about a job.
     ResponseReceived {
         job: usize,
--- a/tests/soak/kv_server.rs
+++ b/tests/soak/kv_server.rs
@@ -88,12 +88,16 @@
 impl KvRates {
     /// Rates that small runs do not reach.
     const AMPLE: KvRates = KvRates { requests: 4000.0, writes: 1500.0 };
-    /// Rates of a large deployment.
-    const LARGE_DEPLOYMENT: KvRates = KvRates { requests: 600.0, writes: 100.0 };
-
-    /// The rates of a run that begins with this many unfinished jobs.
-    pub fn of_backlog(jobs: u64) -> Self {
-        if jobs == 0 { KvRates::AMPLE } else { KvRates::LARGE_DEPLOYMENT }
+    /// Writes per second of a large deployment.
+    const LARGE_DEPLOYMENT_WRITES: f64 = 100.0;
+
+    /// The rates of a run that begins with this many unfinished jobs, for which the store serves this
+    /// many requests per second.
+    pub fn of_backlog(jobs: u64, request_rate: u64) -> Self {
+        if jobs == 0 {
+            return KvRates::AMPLE;
+        }
+        KvRates { requests: request_rate as f64, writes: KvRates::LARGE_DEPLOYMENT_WRITES }
     }
 
     /// Full buckets with bursts of one second's worth.
--- a/tests/soak/monitors.rs
+++ b/tests/soak/monitors.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use ciborium::value::Value;
 use shedtally::protocol::cbor::{Fields, decode};
 use shedtally::transport::client::HttpCall;
 use tokio::sync::watch;
@@ -45,6 +46,29 @@
     }
 }
 
+/// Counter of requests to the key-value store that were sent although their callers had left.
+const SENT_FOR_NOBODY: &str = "sentForNobody";
+
+/// The counters of violated invariants that are not 0.
+fn violated_invariants(status: &Fields<'_>) -> Vec<&'static str> {
+    let is_counted =
+        |metric: &&'static str| status.opt_count(metric).ok().flatten().is_some_and(|count| count > 0);
+    let mut violated: Vec<_> =
+        ["invariantsViolated", "epochsReused"].into_iter().filter(is_counted).collect();
+    if has_sent_for_nobody(status) {
+        violated.push(SENT_FOR_NOBODY);
+    }
+    violated
+}
+
+fn has_sent_for_nobody(status: &Fields<'_>) -> bool {
+    let service = status.get("stateService").and_then(|service| Fields::of(service).ok());
+    let requests = service.as_ref().and_then(|service| service.get("requests"));
+    let Some(Value::Map(classes)) = requests else { return false };
+    let count = |class: &Value| Fields::of(class).ok()?.opt_count(SENT_FOR_NOBODY).ok().flatten();
+    classes.iter().any(|(_, class)| count(class).is_some_and(|count| count > 0))
+}
+
 /// Polls the controllers' status periodically, and records each non-zero counter of a violated
 /// invariant.
 pub fn poll_status(controllers: Vec<std::net::SocketAddr>, recorder: Recorder) -> tokio::task::AbortHandle {
@@ -56,10 +80,8 @@
                 let Some(response) = http::send(*address, call).await else { continue };
                 let Ok(body) = decode(&response.body) else { continue };
                 let Ok(fields) = Fields::of(&body) else { continue };
-                for metric in ["invariantsViolated", "epochsReused"] {
-                    if fields.opt_count(metric).ok().flatten().is_some_and(|count| count > 0) {
-                        recorder.record(Event::InvariantViolated { controller, metric });
-                    }
+                for metric in violated_invariants(&fields) {
+                    recorder.record(Event::InvariantViolated { controller, metric });
                 }
             }
             tokio::time::sleep(STATUS_INTERVAL).await;
--- a/tests/soak/options.rs
+++ b/tests/soak/options.rs
@@ -11,8 +11,11 @@
 /// Variable: number of machines in the fleet.
 pub const WORKERS: &str = "SHEDTALLY_SOAK_WORKERS";
 /// Variable: number of unfinished jobs that are in the key-value store when the run begins. With any,
-/// the store's rates are those of a large deployment.
+/// the store's rates are limited.
 pub const BACKLOG: &str = "SHEDTALLY_SOAK_BACKLOG";
+/// Variable: requests per second that the key-value store serves if there are unfinished jobs when the
+/// run begins. Their number divided by it is about the time that a failover takes.
+pub const REQUEST_RATE: &str = "SHEDTALLY_SOAK_REQUEST_RATE";
 /// Variable: for how many seconds new faults are planned. A run takes longer: it also waits for the
 /// faults to end and for the cluster to recover.
 pub const SECONDS: &str = "SHEDTALLY_SOAK_SECONDS";
@@ -32,6 +35,8 @@
     pub workers: u64,
     /// Number of unfinished jobs in the key-value store when the run begins.
     pub backlog: u64,
+    /// Requests per second that the key-value store serves if there is a backlog.
+    pub request_rate: u64,
     /// For how many seconds new faults are planned.
     pub seconds: u64,
     /// Number of seeds to run concurrently.
@@ -79,7 +84,8 @@
             first_seed: read(FIRST_SEED, 1, 0..=u64::MAX / 2)?,
             seeds: read(SEEDS, 2, 1..=10_000)?,
             workers: read(WORKERS, 24, 4..=400)?,
-            backlog: read(BACKLOG, 400, 0..=10_000)?,
+            backlog: read(BACKLOG, 1200, 0..=10_000)?,
+            request_rate: read(REQUEST_RATE, 250, 50..=10_000)?,
             seconds: read(SECONDS, 20, 5..=600)?,
             at_once: read(AT_ONCE, 2, 1..=8)?,
         })
@@ -98,6 +104,7 @@
         (SEEDS, "0"),
         (WORKERS, "100000"),
         (BACKLOG, "10001"),
+        (REQUEST_RATE, "0"),
         (SECONDS, "-1"),
         (AT_ONCE, "1.5"),
         (SECONDS, ""),
--- a/tests/soak/users.rs
+++ b/tests/soak/users.rs
@@ -97,6 +97,7 @@
 
     /// Submits the job until it is accepted; returns false if it is rejected.
     async fn submit(&mut self) -> bool {
+        self.users.recorder.record(Event::SubmissionBegun { job: self.job });
         loop {
             let (status, state) = self.send_to_any_controller(UserRequest::Submit).await;
             match status {
