--- a/src/coordination/controller/record_reads.rs
+++ b/src/coordination/controller/record_reads.rs
@@ -9,7 +9,7 @@
 use crate::coordination::controller::events::{InternalEvent, JobLookup, RecordRead};
 use crate::coordination::controller::{POLL_TIMEOUT, REQUEST_TIMEOUT};
 use crate::coordination::leader::effects::UncheckedSubmission;
-use crate::coordination::recovery::snapshot::{self, FAILOVER_CLASS};
+use crate::coordination::recovery::job_reads::{self, FAILOVER_CLASS};
 use crate::protocol::jobs::{JobId, JobState, JobStatus};
 use crate::storage::kv::{KvClient, KvError, RequestClass};
 
@@ -87,7 +87,7 @@
     pub(super) fn read_dependencies(&self, epoch: u64, submission: Box<UncheckedSubmission>) {
         let (kv, events) = (self.kv.clone(), self.events.clone());
         tokio::spawn(async move {
-            let read = snapshot::read_dependency_states(&kv, submission.unread_dependencies.clone());
+            let read = job_reads::read_dependency_states(&kv, submission.unread_dependencies.clone());
             let read = tokio::time::timeout(REQUEST_TIMEOUT, read).await;
             let states = read.ok().and_then(Result::ok);
             let _ = events.send(InternalEvent::DependenciesRead { epoch, submission, states }).await;
@@ -114,10 +114,10 @@
     class: RequestClass,
     job: &JobId,
 ) -> Result<Option<JobStatus>, KvError> {
-    let Some(record) = snapshot::read_record(kv, class, job).await? else { return Ok(None) };
+    let Some(record) = job_reads::read_record(kv, class, job).await? else { return Ok(None) };
     let mut status = record.status();
     if !status.state.is_terminal()
-        && snapshot::is_cancelled_by_dependencies(kv, class, &record, MAX_DEPENDENCIES_READ).await?
+        && job_reads::is_cancelled_by_dependencies(kv, class, &record, MAX_DEPENDENCIES_READ).await?
     {
         status.state = JobState::Cancelled;
     }
--- a/src/coordination/controller/requests.rs
+++ b/src/coordination/controller/requests.rs
@@ -58,11 +58,13 @@
 
     /// Answers a question about a job from the best source that this controller has.
     fn poll(&mut self, now: Instant, request: UserRequest) {
+        let serves_as_leader = self.serves_as_leader(now);
         let status = self.snapshot_loader.status(&request.job);
         let snapshot_validity = self.snapshot_validity(now);
-        let routes = self.routing.routes_to_leader(now, request.origin);
+        let routes =
+            if serves_as_leader { Vec::new() } else { self.routing.routes_to_leader(now, request.origin) };
         let options = PollOptions {
-            serves_as_leader: self.serves_as_leader(now),
+            serves_as_leader,
             reads_snapshot: snapshot_validity.is_some(),
             is_in_snapshot: status.is_some(),
             has_route: !routes.is_empty(),
--- a/src/coordination/recovery/mod.rs
+++ b/src/coordination/recovery/mod.rs
@@ -5,8 +5,10 @@
 //! ([`failover`]), and a job's rows with its record ([`reconciler`]).
 
 pub mod failover;
+pub mod job_reads;
 pub mod progress;
 pub mod reconciler;
 pub mod recorded_jobs;
 pub mod snapshot;
+pub mod snapshot_progress;
 pub mod unreadable;
--- a/src/coordination/tests/simulation/mod.rs
+++ b/src/coordination/tests/simulation/mod.rs
@@ -13,6 +13,7 @@
 //! then results of tasks, then steps of the clock. A change in the order of draws, of spawned
 //! tasks or of messages changes everything after it; the trace ([`trace`]) shows it.
 
+mod accepted_jobs;
 mod answers;
 mod cloud;
 mod cluster;
@@ -67,12 +68,12 @@
 };
 use events::Event;
 
+pub use accepted_jobs::AcceptedJob;
 pub use cluster::Origin;
 pub use events::RequestKind;
 pub use faults::Fault;
 pub use shape::ClusterShape;
 pub use trace::Trace;
-pub use users::AcceptedJob;
 
 /// Interval between two steps of workers, users and faults.
 const STEP: Duration = Duration::from_millis(100);
