Refuse requests that were queued for longer than their senders wait

Change: a poll that was queued for 2 s, or a submission or cancellation for 5 s, as long as users wait, is refused when it is taken out, and so is a call whose sender has closed it; a forward tries no further route and no read of the record begins once its caller has left.

Evidence: the two tests of callers_that_have_left fail without the change (a record is read; the request is handled) and pass with it.

--- a/src/coordination/controller/forwarding.rs
+++ b/src/coordination/controller/forwarding.rs
@@ -43,10 +43,13 @@
         Forwarding { routes, leader_was_unreachable, events, timeout: POLL_TIMEOUT / route_count }
     }
 
-    /// Tries the routes one after the other until a controller replies.
+    /// Tries the routes one after the other until a controller replies or the caller has left.
     pub(super) async fn run(self, request: UserRequest) {
         let Forwarding { routes, leader_was_unreachable, events, timeout } = self;
         for Route { peer, via_relay, link } in routes {
+            if request.reply.is_closed() {
+                return;
+            }
             let forwarded_at = Instant::now();
             if let Some(peer_reply) = link.call(request.call.clone(), via_relay, timeout).await {
                 let reply = ForwardedReply { request, peer, forwarded_at, peer_reply };
--- a/src/coordination/controller/latencies.rs
+++ b/src/coordination/controller/latencies.rs
@@ -41,6 +41,12 @@
         self.requests.saturating_record(micros_since(arrived));
     }
 
+    /// Returns the number of requests recorded.
+    #[cfg(test)]
+    pub(super) fn requests_recorded(&self) -> u64 {
+        self.requests.len()
+    }
+
     /// Formats the latencies for a log line.
     pub(super) fn summary(&self) -> String {
         let format_histogram = |histogram: &Histogram<u32>| {
--- a/src/coordination/controller/mod.rs
+++ b/src/coordination/controller/mod.rs
@@ -54,7 +54,7 @@
 use crate::coordination::config::Config;
 use crate::coordination::controller::capacity::CapacityLimits;
 use crate::coordination::controller::concurrency_limit::ConcurrencyLimit;
-use crate::coordination::controller::events::{HeartbeatMessage, InternalEvent, RequestMessage};
+use crate::coordination::controller::events::{HeartbeatMessage, InternalEvent, ReplySender, RequestMessage};
 use crate::coordination::controller::latencies::LatencyHistograms;
 use crate::coordination::controller::leadership::{EpochGuard, LeadershipPublisher};
 use crate::coordination::controller::readiness::Readiness;
@@ -69,6 +69,7 @@
 use crate::coordination::leader::Leader;
 use crate::coordination::workers::deferred_replies::DeferredReplies;
 use crate::storage::kv::KvClient;
+use crate::transport::peer::PeerCall;
 
 pub use handle::ControllerHandle;
 
@@ -78,6 +79,10 @@
 /// Time after which a poll fails; shorter than the two seconds for which users wait for its
 /// answer. Also the total timeout of the calls that forward a request or relay a heartbeat.
 const POLL_TIMEOUT: Duration = Duration::from_millis(1500);
+/// How long users wait for the answer to a poll. One that has been queued for longer has no caller.
+const USERS_POLL_PATIENCE: Duration = Duration::from_secs(2);
+/// How long users wait for the answer to a submission or cancellation.
+const USERS_CHANGE_PATIENCE: Duration = Duration::from_secs(5);
 /// Seconds after which a user may retry a request that failed.
 const RETRY_AFTER_S: u32 = 1;
 /// Time between two ticks.
@@ -227,6 +232,9 @@
 
     fn handle_message(&mut self, message: RequestMessage) {
         match message {
+            RequestMessage::Call { call, reply, arrived, .. } if has_left(&call, &reply, arrived) => {
+                drop(reply.send(self.user_replies.refuse_expired()));
+            }
             RequestMessage::Call { call, reply, origin, arrived } => {
                 self.handle_request(call, reply, origin);
                 self.latencies.record_request(arrived);
@@ -280,5 +288,16 @@
     }
 }
 
+/// Whether the sender of a call that entered the queue at `arrived` no longer waits for the answer.
+fn has_left(call: &PeerCall, reply: &ReplySender, arrived: Instant) -> bool {
+    let patience = match call {
+        PeerCall::Poll(_) => USERS_POLL_PATIENCE,
+        PeerCall::Submit(_) | PeerCall::Cancel(_) => USERS_CHANGE_PATIENCE,
+        // Heartbeats have a queue of their own, and leader queries cost nothing.
+        PeerCall::Heartbeat(_) | PeerCall::LeaderQuery => return reply.is_closed(),
+    };
+    reply.is_closed() || arrived.elapsed() >= patience
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/coordination/controller/record_reads.rs
+++ b/src/coordination/controller/record_reads.rs
@@ -73,6 +73,12 @@
         self.limit.release();
     }
 
+    /// Returns the number of reads in flight.
+    #[cfg(test)]
+    pub(super) fn in_flight(&self) -> usize {
+        self.limit.in_flight()
+    }
+
     /// Starts a reserved read of one job's record.
     pub(super) fn look_up(&self, lookup: JobLookup, purpose: LookupPurpose) {
         let (kv, events) = (self.kv.clone(), self.events.clone());
--- a/src/coordination/controller/requests.rs
+++ b/src/coordination/controller/requests.rs
@@ -198,8 +198,12 @@
         self.look_up(JobLookup { reply, job, if_absent: no_such_job(), only_terminal: false, deadline });
     }
 
-    /// Reads a job's record for a user; answers with a failure if too many reads are in flight.
+    /// Reads a job's record for a user who still waits; answers with a failure if too many reads are in
+    /// flight.
     pub(super) fn look_up(&mut self, lookup: JobLookup) {
+        if lookup.reply.is_closed() {
+            return;
+        }
         let purpose = if self.snapshot_loader.epoch().is_some() {
             LookupPurpose::BesideSnapshot
         } else {
--- a/src/coordination/controller/snapshot_loader/tests.rs
+++ b/src/coordination/controller/snapshot_loader/tests.rs
@@ -27,6 +27,14 @@
 /// A store with the records and live rows of [`JOBS`] jobs. `is_lost` decides from the number of
 /// requests so far whether a response is lost. Returns the targets requested.
 fn serve_jobs(is_lost: impl Fn(usize) -> bool + Send + 'static) -> mpsc::UnboundedReceiver<String> {
+    serve_jobs_with(is_lost, |_| false)
+}
+
+/// As [`serve_jobs`]; the responses about the targets that `is_malformed` selects cannot be decoded.
+fn serve_jobs_with(
+    is_lost: impl Fn(usize) -> bool + Send + 'static,
+    is_malformed: impl Fn(&str) -> bool + Send + 'static,
+) -> mpsc::UnboundedReceiver<String> {
     let mut store = InMemoryKv::with_pages_of(JOBS);
     for number in 0..JOBS {
         let record = loaded_job(sample(&format!("job-{number}"), "red", 1, 1.0)).record;
@@ -44,7 +52,11 @@
             if is_lost(requests) {
                 continue;
             }
-            let response = response_of(&mut store, call);
+            let malformed = is_malformed(&call.target);
+            let mut response = response_of(&mut store, call);
+            if malformed {
+                response.body = b"junk".to_vec();
+            }
             tokio::spawn(async move {
                 tokio::time::sleep(STORE_LATENCY).await;
                 let _ = reply.send(Ok(response));
@@ -116,3 +128,16 @@
     let is_snapshot = |event: &InternalEvent| matches!(event, InternalEvent::SnapshotRead { .. });
     assert!(!std::iter::from_fn(|| inbox.try_recv().ok()).any(|event| is_snapshot(&event)));
 }
+
+/// Users must be answered within this time after the faults.
+const ANSWERED_WITHIN: Duration = Duration::from_secs(75);
+
+#[tokio::test(start_paused = true)]
+async fn a_record_whose_read_always_fails_does_not_keep_the_failover_from_ending() {
+    let _targets = serve_jobs_with(|_| false, |target| target == "/keys/rec/job-7");
+    let (events, mut inbox) = mpsc::channel(2 * JOBS);
+    loader(events).start(EPOCH);
+    let snapshot = tokio::time::timeout(ANSWERED_WITHIN, next_snapshot(&mut inbox)).await;
+    let snapshot = snapshot.expect("ends in time").expect("a snapshot");
+    assert_eq!((snapshot.jobs.len(), snapshot.unreadable.len()), (JOBS - 1, 1));
+}
--- a/src/coordination/controller/tests.rs
+++ b/src/coordination/controller/tests.rs
@@ -1,3 +1,4 @@
+mod callers_that_have_left;
 mod partial_snapshot;
 
 use super::*;
--- a/src/coordination/controller/user_replies.rs
+++ b/src/coordination/controller/user_replies.rs
@@ -82,10 +82,7 @@
     /// Answers a request about a job. A cached terminal state takes precedence over `answer`.
     pub(super) fn answer(&mut self, reply: ReplySender, job: &JobId, answer: Answer) {
         let answer = self.terminal_states.resolve(job, answer);
-        *self.answers.entry(answer.status).or_default() += 1;
-        if let Some(reason) = answer.refusal {
-            *self.refusals.entry(reason).or_default() += 1;
-        }
+        self.count(&answer);
         if answer.status == 200
             && let Some((epoch, began)) = self.unanswered_epoch.take()
         {
@@ -95,6 +92,21 @@
         let _ = reply.send(answer);
     }
 
+    /// Counts a request that has waited in the queue for longer than its sender, and returns the
+    /// answer to it.
+    pub(super) fn refuse_expired(&mut self) -> Answer {
+        let answer = Answer::retry_later(503, "expired in the queue", RETRY_AFTER_S);
+        self.count(&answer);
+        answer
+    }
+
+    fn count(&mut self, answer: &Answer) {
+        *self.answers.entry(answer.status).or_default() += 1;
+        if let Some(reason) = answer.refusal {
+            *self.refusals.entry(reason).or_default() += 1;
+        }
+    }
+
     /// The number of answers about jobs by status, without those from cached terminal states.
     pub(super) fn answer_metrics(&self) -> Value {
         let add =
