Give each soak controller a loopback host of its own

The harness looked for free ports by binding and releasing them on one host for all controllers of all seeds at once, so another run could be given the same port before the process bound it. The host follows from seed and controller now, and both ports of a controller are looked for together. A fault of the harness; the check stays as it is.

--- a/tests/soak/cluster.rs
+++ b/tests/soak/cluster.rs
@@ -67,6 +67,7 @@
         let program = std::env::var_os(PROGRAM).map(PathBuf::from);
         let program = program.unwrap_or_else(|| PathBuf::from(env!("CARGO_BIN_EXE_shedtally")));
         let setup = ClusterSetup {
+            seed,
             count,
             workers: options.workers,
             rates,
--- a/tests/soak/processes.rs
+++ b/tests/soak/processes.rs
@@ -2,11 +2,12 @@
 //! a proxied link for each connection to or from a controller.
 
 use std::fs::File;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 
 use rustix::process::{Pid, Signal, kill_process};
+use tokio::net::TcpListener;
 
 use super::jobs::{LIMITED_SHARE, LIMITED_TEAM, MACHINE_CPUS, ZONES};
 use super::kv_server::{KvRates, KvServer, TXN_OPS, VALUE_KB};
@@ -47,6 +48,7 @@
 /// All controllers of a run. Dropping this kills their processes.
 #[derive(Debug)]
 pub struct Controllers {
+    seed: u64,
     controllers: Vec<Controller>,
     program: PathBuf,
     folder: PathBuf,
@@ -57,14 +59,27 @@
     latency_sensitive: bool,
 }
 
-/// Returns a free address for a controller to listen on. Outgoing connections use another loopback
-/// address, so that none of them takes the port before the controller binds it.
-async fn free_address() -> std::io::Result<SocketAddr> {
-    tokio::net::TcpListener::bind("127.0.1.1:0").await?.local_addr()
+/// Number of loopback hosts that differ in one byte of the address.
+const HOSTS_PER_BYTE: u64 = 250;
+
+/// The loopback host on which a controller of the run with this seed listens. No other controller and
+/// no outgoing connection uses it, so that nothing takes a port before the controller binds it.
+fn listen_host(seed: u64, index: usize) -> Ipv4Addr {
+    let byte = |number: u64| (number % HOSTS_PER_BYTE + 1) as u8;
+    Ipv4Addr::new(127, byte(seed / HOSTS_PER_BYTE), byte(seed), byte(index as u64 + 1))
+}
+
+/// Returns two free addresses on a host.
+async fn free_addresses(host: Ipv4Addr) -> std::io::Result<(SocketAddr, SocketAddr)> {
+    let first = TcpListener::bind((host, 0)).await?;
+    let second = TcpListener::bind((host, 0)).await?;
+    Ok((first.local_addr()?, second.local_addr()?))
 }
 
 /// Setup that all controllers of a run share.
 pub struct ClusterSetup<'a> {
+    /// Seed of the run.
+    pub seed: u64,
     /// Number of controllers.
     pub count: usize,
     /// Number of machines in the fleet.
@@ -103,6 +118,7 @@
             });
         }
         Ok(Controllers {
+            seed: setup.seed,
             controllers,
             program: setup.program.to_owned(),
             folder: setup.folder.to_owned(),
@@ -141,7 +157,8 @@
         if self.controllers[index].child.is_some() {
             return Ok(());
         }
-        let (serve_address, internal_address) = (free_address().await?, free_address().await?);
+        let host = listen_host(self.seed, index);
+        let (serve_address, internal_address) = free_addresses(host).await?;
         self.controllers[index].start_count += 1;
         let file = self.folder.join(format!("c-{index}.toml"));
         std::fs::write(&file, self.settings(index, serve_address, internal_address))?;
