--- a/src/coordination/controller/answer_source.rs
+++ b/src/coordination/controller/answer_source.rs
@@ -34,8 +34,9 @@
 }
 
 impl PollOptions {
-    /// Prefers what costs least: memory, then one call, then a read of the store. A peer that takes
-    /// this controller for the leader reads the record itself unless only this one can answer better.
+    /// Prefers what costs least: memory, then one call, then a read of the store. A peer can read the
+    /// record itself; it is refused unless this controller reads its snapshot, and so has the larger
+    /// share of the store's rate.
     pub(super) fn choose(self) -> PollSource {
         if self.serves_as_leader {
             PollSource::Memory
--- a/src/coordination/controller/record_reads.rs
+++ b/src/coordination/controller/record_reads.rs
@@ -26,20 +26,20 @@
 /// of the snapshot, divided by this: the others would only make the failover longer.
 const SNAPSHOT_READS_PER_LOOKUP: usize = 4;
 
-/// Beside what a record is read for a user.
+/// In which situation a record is read for a user.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum LookupPurpose {
-    /// Beside the usual requests.
+pub(super) enum LookupSituation {
+    /// No snapshot is being read.
     Ordinary,
-    /// Beside the snapshot that this controller reads as the new leader.
+    /// This controller is the new leader and reads its snapshot.
     BesideSnapshot,
 }
 
-impl LookupPurpose {
+impl LookupSituation {
     fn request_class(self) -> RequestClass {
         match self {
-            LookupPurpose::Ordinary => RequestClass::Completion,
-            LookupPurpose::BesideSnapshot => FAILOVER_CLASS,
+            LookupSituation::Ordinary => RequestClass::Completion,
+            LookupSituation::BesideSnapshot => FAILOVER_CLASS,
         }
     }
 }
@@ -60,10 +60,10 @@
     /// Reserves one read and returns true, unless the limit is reached. A reserved read is
     /// started by [`Self::look_up`] or [`Self::read_dependencies`].
     #[must_use]
-    pub(super) fn try_acquire(&mut self, purpose: LookupPurpose) -> bool {
-        let limit = match purpose {
-            LookupPurpose::Ordinary => self.kv.reads_served_within(LOOKUP_QUEUE_TIME).max(MIN_LOOKUPS),
-            LookupPurpose::BesideSnapshot => self.kv.concurrent_reads() / SNAPSHOT_READS_PER_LOOKUP,
+    pub(super) fn try_acquire(&mut self, situation: LookupSituation) -> bool {
+        let limit = match situation {
+            LookupSituation::Ordinary => self.kv.reads_served_within(LOOKUP_QUEUE_TIME).max(MIN_LOOKUPS),
+            LookupSituation::BesideSnapshot => self.kv.concurrent_reads() / SNAPSHOT_READS_PER_LOOKUP,
         };
         self.limit.try_acquire_within(limit)
     }
@@ -80,11 +80,11 @@
     }
 
     /// Starts a reserved read of one job's record.
-    pub(super) fn look_up(&self, lookup: JobLookup, purpose: LookupPurpose) {
+    pub(super) fn look_up(&self, lookup: JobLookup, situation: LookupSituation) {
         let (kv, events) = (self.kv.clone(), self.events.clone());
         tokio::spawn(async move {
             let started = Instant::now();
-            let read = read_status(&kv, purpose.request_class(), &lookup).await;
+            let read = read_status(&kv, situation.request_class(), &lookup).await;
             let _ = events.send(InternalEvent::JobLookedUp { lookup, started, read }).await;
         });
     }
--- a/src/coordination/controller/requests.rs
+++ b/src/coordination/controller/requests.rs
@@ -10,7 +10,7 @@
     ForwardedReply, JobLookup, RecordRead, ReplySender, RequestOrigin, UserRequest,
 };
 use crate::coordination::controller::peers::PeerState;
-use crate::coordination::controller::record_reads::LookupPurpose;
+use crate::coordination::controller::record_reads::LookupSituation;
 use crate::coordination::controller::system_time::unix_time_ms;
 use crate::coordination::controller::user_replies::PendingReply;
 use crate::coordination::controller::{Controller, POLL_TIMEOUT, REQUEST_TIMEOUT, RETRY_AFTER_S};
@@ -204,15 +204,15 @@
         if lookup.reply.is_closed() {
             return;
         }
-        let purpose = if self.snapshot_loader.epoch().is_some() {
-            LookupPurpose::BesideSnapshot
+        let situation = if self.snapshot_loader.epoch().is_some() {
+            LookupSituation::BesideSnapshot
         } else {
-            LookupPurpose::Ordinary
+            LookupSituation::Ordinary
         };
-        if !self.record_reads.try_acquire(purpose) {
+        if !self.record_reads.try_acquire(situation) {
             return self.user_replies.answer(lookup.reply, &lookup.job, too_many_requests());
         }
-        self.record_reads.look_up(lookup, purpose);
+        self.record_reads.look_up(lookup, situation);
     }
 
     /// Answers a user after the job's record was read. A terminal state in the record is the
@@ -248,7 +248,7 @@
     /// Reads the records of the jobs that a submission depends on; answers with a failure if too
     /// many reads are in flight.
     pub(super) fn read_dependencies(&mut self, epoch: u64, submission: Box<UncheckedSubmission>) {
-        if !self.record_reads.try_acquire(LookupPurpose::Ordinary) {
+        if !self.record_reads.try_acquire(LookupSituation::Ordinary) {
             return self.user_replies.answer_pending(submission.reply, too_many_requests());
         }
         self.record_reads.read_dependencies(epoch, submission);
--- a/src/coordination/controller/tests.rs
+++ b/src/coordination/controller/tests.rs
@@ -7,7 +7,7 @@
     ForwardedReply, JobLookup, RecordRead, RequestOrigin, UserRequest,
 };
 use crate::coordination::controller::peers::{KnownLeader, PeerState};
-use crate::coordination::controller::record_reads::LookupPurpose;
+use crate::coordination::controller::record_reads::LookupSituation;
 use crate::coordination::jobs::cancellation::CancelOutcome;
 use crate::coordination::jobs::job::ReplyId;
 use crate::coordination::leader::effects::Effect;
@@ -474,7 +474,7 @@
     let absent = Answer::error(404, "no such job");
     let deadline = Instant::now() + POLL_TIMEOUT;
     let lookup = JobLookup { reply, job: job.clone(), if_absent: absent, only_terminal: false, deadline };
-    assert!(controller.record_reads.try_acquire(LookupPurpose::Ordinary));
+    assert!(controller.record_reads.try_acquire(LookupSituation::Ordinary));
     controller.handle_job_looked_up(lookup, Instant::now(), RecordRead::Found(status(JobState::Queued)));
     assert_eq!(state_of(&answer.await.expect("answered")), "cancelled");
     // A cancellation must not be answered with a state that is not terminal.
--- a/src/storage/kv/actor.rs
+++ b/src/storage/kv/actor.rs
@@ -186,9 +186,9 @@
         }
     }
 
-    /// Decides what to do next, about the requests whose callers still wait. Renewals wait neither for requests in flight nor for the end of
-    /// a pause, and may use the whole rates; the other classes leave a reserve, so that a
-    /// backlog cannot make the lease expire.
+    /// Decides what to do next about the requests whose callers still wait. Renewals wait neither for
+    /// requests in flight nor for the end of a pause, and may use the whole rates; the other classes
+    /// leave a reserve, so that a backlog cannot make the lease expire.
     fn next_action(&mut self, now: Instant) -> NextAction {
         self.queues.drop_abandoned(&mut self.statistics);
         let Some((class, request)) = self.queues.first() else { return NextAction::WaitForEvent };
