Review case 1: one submission of a pipeline's last job hangs every controller

Cause: DependencyGraph::propagate_urgency corrects labels with a last-in-first-out work list, whose visits double with each diamond of a chain.

Contains the stand-ins of the review (review/standins, outside the default build and tests), review/build.sh and case 1: claim and script.

--- /dev/null
+++ b/review/standins/src/scenarios.rs
@@ -0,0 +1,16 @@
+//! The scenarios of the cases.
+
+mod cluster;
+mod pipeline;
+
+use std::path::Path;
+
+use crate::Verdict;
+
+/// Plays a scenario; `trouble`: with its disruption.
+pub async fn play(name: &str, folder: &Path, trouble: bool) -> std::io::Result<Verdict> {
+    match name {
+        "pipeline" => pipeline::play(folder, trouble).await,
+        _ => Err(std::io::Error::other(format!("there is no scenario {name}"))),
+    }
+}
--- /dev/null
+++ b/review/standins/src/scenarios/cluster.rs
@@ -0,0 +1,173 @@
+//! A whole small deployment of stand-ins and controllers.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+
+use crate::cloud::{Build, Cloud};
+use crate::controllers::{Controllers, Deployment};
+use crate::history::{Entry, Recorder};
+use crate::kv_server::{KvRates, KvServer};
+use crate::record::Record;
+use crate::users::{self, Job};
+use crate::workers::{JobFacts, World};
+
+/// A folder that is removed at the end.
+pub struct TemporaryFolder(pub PathBuf);
+
+impl TemporaryFolder {
+    fn create() -> std::io::Result<Self> {
+        let folder = std::env::temp_dir().join(format!("shedtally-review-{}", std::process::id()));
+        std::fs::create_dir_all(&folder)?;
+        Ok(TemporaryFolder(folder))
+    }
+}
+
+impl Drop for TemporaryFolder {
+    fn drop(&mut self) {
+        if std::env::var_os("KEEP").is_none() {
+            let _ = std::fs::remove_dir_all(&self.0);
+        }
+    }
+}
+
+/// The components of a run.
+pub struct Cluster {
+    pub record: Record,
+    pub controllers: Controllers,
+    pub state: KvServer,
+    pub cloud: Cloud,
+    pub world: Arc<World>,
+    history: mpsc::UnboundedReceiver<Entry>,
+    _folder: TemporaryFolder,
+}
+
+/// The deployment of the site file `omtf-transcribe`, with three controllers.
+pub fn small_deployment() -> Deployment {
+    Deployment {
+        zones: vec!["taichung-1"],
+        report_s: 3.0,
+        lease_s: 21.0,
+        cancel_s: 46.0,
+        rps: 250.0,
+        write_rps: 50.0,
+        teams: vec![("archive-crew-00", 40.0, 400.0), ("archive-crew-01", 40.0, 400.0)],
+        list_lag_s: 5.0,
+        cloud_rps: 2.0,
+    }
+}
+
+/// Its larger machine type.
+pub const BUILD: Build = Build { name: "zhong-16", cores: 16.0, ram_gb: 64.0, startup_s: 30.0 };
+
+impl Cluster {
+    /// Starts everything with `up` machines, `capacity` at most.
+    pub async fn start(
+        folder: &Path,
+        deployment: &Deployment,
+        up: usize,
+        capacity: usize,
+    ) -> std::io::Result<Self> {
+        const CONTROLLERS: usize = 3;
+        let record = Record::create(folder)?;
+        let temporary = TemporaryFolder::create()?;
+        let (recorder, history) = Recorder::new(record.begin());
+        let rates = KvRates { requests: deployment.rps, writes: deployment.write_rps };
+        let state = KvServer::start(1, CONTROLLERS, rates, &[], recorder).await?;
+        let world = Arc::new(World {
+            jobs: Mutex::new(BTreeMap::new()),
+            controllers: Mutex::new(Vec::new()),
+            record: record.clone(),
+            report: Duration::from_secs_f64(deployment.report_s),
+            lease: Duration::from_secs_f64(deployment.lease_s),
+        });
+        let lag_s = deployment.list_lag_s;
+        // The cloud needs the controllers' addresses before its machines report.
+        let cloud_port = crate::http::listen(1, 1, |_, _| ()).await?;
+        cloud_port.abort_handle.abort();
+        let placeholder = [cloud_port.address; CONTROLLERS];
+        let chosen =
+            Controllers::prepare(CONTROLLERS, &temporary.0, deployment, &state.addresses, &placeholder).await?;
+        if let Ok(mut list) = world.controllers.lock() {
+            *list = chosen.serve_addresses();
+        }
+        drop(chosen);
+        let cloud = Cloud::start(BUILD, deployment.zones.clone(), lag_s, up, capacity, world.clone()).await?;
+        let clouds = [cloud.address; CONTROLLERS];
+        let mut controllers =
+            Controllers::prepare(CONTROLLERS, &temporary.0, deployment, &state.addresses, &clouds).await?;
+        if let Ok(mut list) = world.controllers.lock() {
+            *list = controllers.serve_addresses();
+        }
+        controllers.start_all()?;
+        Ok(Cluster { record, controllers, state, cloud, world, history, _folder: temporary })
+    }
+
+    /// Where users reach the controllers.
+    pub fn users(&self) -> Vec<SocketAddr> {
+        self.controllers.serve_addresses()
+    }
+
+    /// Waits until all controllers are ready and jobs can be accepted.
+    pub async fn wait_until_ready(&self, limit: Duration) -> std::io::Result<()> {
+        loop {
+            let mut ready = 0;
+            for to in self.users() {
+                ready += usize::from(users::is_ready(to).await);
+            }
+            if ready == self.users().len() {
+                self.record.say("all controllers are ready");
+                return Ok(());
+            }
+            if self.record.now() > limit {
+                return Err(std::io::Error::other("the controllers are not ready"));
+            }
+            tokio::time::sleep(Duration::from_millis(200)).await;
+        }
+    }
+
+    /// Uploads a job for the workers and submits it until it is accepted, as users do: for up to a
+    /// minute, at one controller after the other.
+    pub async fn submit(&self, job: &Job) -> std::io::Result<()> {
+        self.upload(job);
+        let controllers = self.users();
+        for turn in 0..60 {
+            let to = turn % controllers.len();
+            let received = users::submit(controllers[to], job).await;
+            self.record.line(&format!("submit {} at shed-{to}: {received:?}", job.id));
+            match received.status {
+                200 | 201 => return Ok(()),
+                400 | 422 => break,
+                _ => tokio::time::sleep(Duration::from_secs(1)).await,
+            }
+        }
+        Err(std::io::Error::other(format!("{} is not accepted", job.id)))
+    }
+
+    /// Uploads a job's description for the workers.
+    pub fn upload(&self, job: &Job) {
+        let run = (!job.service).then_some(job.run);
+        let facts = JobFacts { cores: job.cores, ram_gb: job.ram_gb, tasks: job.tasks, run };
+        if let Ok(mut jobs) = self.world.jobs.lock() {
+            jobs.insert(job.id.clone(), facts);
+        }
+    }
+
+    /// The name of the leader according to the state service.
+    pub async fn leader(&self) -> Option<usize> {
+        self.state.leader().await?.strip_prefix("shed-")?.parse().ok()
+    }
+
+    /// What the state service has committed since the last call.
+    pub fn committed(&mut self) -> Vec<Entry> {
+        let mut entries = Vec::new();
+        while let Ok(entry) = self.history.try_recv() {
+            entries.push(entry);
+        }
+        entries
+    }
+}
