Review case 2: a cancellation waits behind the writes of jobs that become ready

Cause: the key-value client receives requests of all classes but renewals from one bounded channel in the order of arrival, so cancellations and reads for users stand behind thousands of writes of a lower class.

--- a/review/standins/src/controllers.rs
+++ b/review/standins/src/controllers.rs
@@ -28,6 +28,10 @@
     pub list_lag_s: f64,
     /// Calls a second of the cloud.
     pub cloud_rps: f64,
+    /// Memory of a controller in MB.
+    pub ram_mb: f64,
+    /// Sockets of a controller.
+    pub sockets: u32,
 }
 
 /// Addresses of one controller as the others and the clients see them.
@@ -216,12 +220,13 @@
             "[[cluster.teams]]\nname = \"{name}\"\ncpus = {guaranteed:?}\ncpus_max = {limit:?}\ngpus = 0.0\ngpus_max = 0.0\n\n"
         );
     }
-    let Deployment { report_s, lease_s, cancel_s, rps, write_rps, list_lag_s, cloud_rps, .. } = deployment;
+    let Deployment { report_s, lease_s, cancel_s, rps, write_rps, list_lag_s, cloud_rps, ram_mb, sockets, .. } =
+        deployment;
     text += &format!(
         "[cluster.workers]\nreport_s = {report_s:?}\nlease_s = {lease_s:?}\ngang_wait_s = 40.0\ngang_peer_s = 4.0\ncancel_s = {cancel_s:?}\n\n\
          [cluster.state]\nrps = {rps:?}\nwrite_rps = {write_rps:?}\nvalue_kb = 8.0\ntxn_ops = 24\n\n\
          [cluster.cloud]\nrps = {cloud_rps:?}\nlist_lag_s = {list_lag_s:?}\n\n\
-         [cluster.quota]\ncore_share = 0.064\nram_mb = 72.0\nsockets = 1200\n"
+         [cluster.quota]\ncore_share = 0.064\nram_mb = {ram_mb:?}\nsockets = {sockets}\n"
     );
     text
 }
--- a/review/standins/src/scenarios.rs
+++ b/review/standins/src/scenarios.rs
@@ -2,6 +2,7 @@
 
 mod cluster;
 mod pipeline;
+mod release;
 
 use std::path::Path;
 
@@ -10,6 +11,7 @@
 /// Plays a scenario; `trouble`: with its disruption.
 pub async fn play(name: &str, folder: &Path, trouble: bool) -> std::io::Result<Verdict> {
     match name {
+        "release" => release::play(folder, trouble).await,
         "pipeline" => pipeline::play(folder, trouble).await,
         _ => Err(std::io::Error::other(format!("there is no scenario {name}"))),
     }
--- a/review/standins/src/scenarios/cluster.rs
+++ b/review/standins/src/scenarios/cluster.rs
@@ -4,8 +4,10 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use shedtally::protocol::jobs::JobSpec;
+use shedtally::storage::records::JobRecord;
 use tokio::sync::mpsc;
 
 use crate::cloud::{Build, Cloud};
@@ -16,6 +18,13 @@
 use crate::users::{self, Job};
 use crate::workers::{JobFacts, World};
 
+/// The records of jobs that were accepted before, as a controller writes them.
+fn records(accepted: &[Job]) -> Vec<JobRecord> {
+    let now_ms = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64);
+    let specs = accepted.iter().filter_map(|job| JobSpec::decode(&job.encode()).ok());
+    specs.map(|spec| JobRecord::new(spec, now_ms)).collect()
+}
+
 /// A folder that is removed at the end.
 pub struct TemporaryFolder(pub PathBuf);
 
@@ -58,6 +67,25 @@
         teams: vec![("archive-crew-00", 40.0, 400.0), ("archive-crew-01", 40.0, 400.0)],
         list_lag_s: 5.0,
         cloud_rps: 2.0,
+        ram_mb: 72.0,
+        sockets: 1200,
+    }
+}
+
+/// The deployment of the site file `ppdn-docfarm-fleet`.
+pub fn docfarm_deployment() -> Deployment {
+    Deployment {
+        zones: vec!["cyberjaya-a", "cyberjaya-b", "penang-dr"],
+        report_s: 5.0,
+        lease_s: 27.0,
+        cancel_s: 52.0,
+        rps: 600.0,
+        write_rps: 70.0,
+        teams: vec![("sekretariat-ops-00", 3000.0, 9000.0), ("sekretariat-ops-01", 3000.0, 9000.0)],
+        list_lag_s: 4.0,
+        cloud_rps: 6.0,
+        ram_mb: 188.0,
+        sockets: 2726,
     }
 }
 
@@ -65,19 +93,21 @@
 pub const BUILD: Build = Build { name: "zhong-16", cores: 16.0, ram_gb: 64.0, startup_s: 30.0 };
 
 impl Cluster {
-    /// Starts everything with `up` machines, `capacity` at most.
+    /// Starts everything with `up` machines, `capacity` at most. The `accepted` jobs were accepted before:
+    /// the state service holds their records, and the workers know them.
     pub async fn start(
         folder: &Path,
         deployment: &Deployment,
         up: usize,
         capacity: usize,
+        accepted: &[Job],
     ) -> std::io::Result<Self> {
         const CONTROLLERS: usize = 3;
         let record = Record::create(folder)?;
         let temporary = TemporaryFolder::create()?;
         let (recorder, history) = Recorder::new(record.begin());
         let rates = KvRates { requests: deployment.rps, writes: deployment.write_rps };
-        let state = KvServer::start(1, CONTROLLERS, rates, &[], recorder).await?;
+        let state = KvServer::start(1, CONTROLLERS, rates, &records(accepted), recorder).await?;
         let world = Arc::new(World {
             jobs: Mutex::new(BTreeMap::new()),
             controllers: Mutex::new(Vec::new()),
@@ -104,7 +134,9 @@
             *list = controllers.serve_addresses();
         }
         controllers.start_all()?;
-        Ok(Cluster { record, controllers, state, cloud, world, history, _folder: temporary })
+        let cluster = Cluster { record, controllers, state, cloud, world, history, _folder: temporary };
+        accepted.iter().for_each(|job| cluster.upload(job));
+        Ok(cluster)
     }
 
     /// Where users reach the controllers.
--- a/review/standins/src/users.rs
+++ b/review/standins/src/users.rs
@@ -5,7 +5,8 @@
 
 use ciborium::value::Value;
 use shedtally::protocol::cbor::{Fields, MapBuilder, decode, encode, text_array};
-use shedtally::transport::client::HttpCall;
+use shedtally::transport::client::{ConnectionPool, HttpCall};
+use shedtally::transport::codec::Limits;
 
 use crate::http::send;
 
@@ -23,6 +24,7 @@
     pub estimate_s: f64,
     pub due_s: Option<f64>,
     pub awaits: Vec<String>,
+    pub together: bool,
     /// How long a task really runs; not part of the submission.
     pub run: Duration,
 }
@@ -42,6 +44,7 @@
             estimate_s: run.as_secs_f64(),
             due_s: None,
             awaits: Vec::new(),
+            together: false,
             run,
         }
     }
@@ -62,7 +65,7 @@
             .set("ramGb", self.ram_gb)
             .set("bundle", "img-07")
             .set("pullGb", 0.1)
-            .set("together", false)
+            .set("together", self.together)
             .set("scatter", false)
             .set("loaners", false)
             .set("reckonS", self.estimate_s)
@@ -119,3 +122,38 @@
     let call = HttpCall { method: "GET", target: "/ready".into(), body: Vec::new(), timeout };
     send(to, call).await.is_some_and(|response| response.status == 200)
 }
+
+/// Asks about several jobs at the same time.
+pub async fn poll_all(to: SocketAddr, ids: &[String]) -> Vec<(String, Received)> {
+    let mut asked = tokio::task::JoinSet::new();
+    for id in ids.iter().cloned() {
+        asked.spawn(async move {
+            let received = poll(to, &id).await;
+            (id, received)
+        });
+    }
+    asked.join_all().await
+}
+
+/// A user whose connection stays open at the node that the load balancer chose for it. A question that
+/// gets no response in time closes the connection.
+pub struct ConnectedUser(ConnectionPool);
+
+impl ConnectedUser {
+    /// A user whose connection is at this node.
+    pub fn new(node: SocketAddr) -> Self {
+        ConnectedUser(ConnectionPool::new(node, Limits { head: 8192, body: 64 * 1024 }, 1))
+    }
+
+    /// Asks about a job on the open connection.
+    pub async fn poll(&mut self, id: &str) -> Received {
+        let timeout = Duration::from_secs(2);
+        let call = HttpCall { method: "GET", target: format!("/api/jobs/{id}"), body: Vec::new(), timeout };
+        let (result, connection) = self.0.prepare(call).run().await;
+        self.0.put_back(connection);
+        let Ok(response) = result else { return Received { status: 0, standing: None } };
+        let body = decode(&response.body).unwrap_or(Value::Null);
+        let standing = Fields::of(&body).ok().and_then(|fields| fields.text("standing").ok().map(str::to_owned));
+        Received { status: response.status, standing }
+    }
+}
