--- a/review/standins/src/scenarios.rs
+++ b/review/standins/src/scenarios.rs
@@ -1,6 +1,7 @@
 //! The scenarios of the cases.
 
 mod cluster;
+mod fan_in;
 mod pipeline;
 mod release;
 
@@ -11,6 +12,7 @@
 /// Plays a scenario; `trouble`: with its disruption.
 pub async fn play(name: &str, folder: &Path, trouble: bool) -> std::io::Result<Verdict> {
     match name {
+        "fan-in" => fan_in::play(folder, trouble).await,
         "release" => release::play(folder, trouble).await,
         "pipeline" => pipeline::play(folder, trouble).await,
         _ => Err(std::io::Error::other(format!("there is no scenario {name}"))),
--- a/review/standins/src/scenarios/cluster.rs
+++ b/review/standins/src/scenarios/cluster.rs
@@ -6,8 +6,11 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use shedtally::protocol::jobs::JobSpec;
-use shedtally::storage::records::JobRecord;
+use shedtally::protocol::cbor::encode;
+use shedtally::protocol::jobs::{JobSpec, JobState};
+use shedtally::protocol::kv::{Change, encode_compare_and_swap};
+use shedtally::storage::records::{JobRecord, archived_row_key, encode_row, job_record_key};
+use shedtally::transport::client::HttpCall;
 use tokio::sync::mpsc;
 
 use crate::cloud::{Build, Cloud};
@@ -25,6 +28,31 @@
     specs.map(|spec| JobRecord::new(spec, now_ms)).collect()
 }
 
+/// Writes the records and archived rows of jobs that are done, as a controller leaves them.
+async fn write_ended(state: SocketAddr, ended: &[Job]) -> std::io::Result<()> {
+    for some in ended.chunks(10) {
+        let mut changes = Vec::new();
+        for mut record in records(some) {
+            record.completed = true;
+            record.started_high_water = record.spec.task_count;
+            record.completed_ms = Some(record.submitted_ms);
+            let id = record.spec.id.clone();
+            let (record, row) = (record.encode_without_done_tasks(), encode_row(JobState::Done));
+            for (key, value) in [(job_record_key(&id), record), (archived_row_key(&id), row)] {
+                changes.push(Change::Put { key, value, lease: None });
+            }
+        }
+        let body = encode(&encode_compare_and_swap(&[], &changes));
+        let timeout = Duration::from_secs(2);
+        let call = HttpCall { method: "POST", target: "/commit".into(), body, timeout };
+        let response = crate::http::send(state, call).await;
+        if response.as_ref().is_none_or(|response| response.status != 200) {
+            return Err(std::io::Error::other(format!("ended jobs are not written: {response:?}")));
+        }
+    }
+    Ok(())
+}
+
 /// A folder that is removed at the end.
 pub struct TemporaryFolder(pub PathBuf);
 
@@ -72,6 +100,19 @@
     }
 }
 
+/// The deployment of the site file `ppdn-docfarm-next`.
+pub fn next_deployment() -> Deployment {
+    Deployment {
+        rps: 150.0,
+        write_rps: 20.0,
+        teams: vec![("sekretariat-ops-00", 800.0, 3500.0), ("sekretariat-ops-01", 800.0, 3500.0)],
+        cloud_rps: 3.0,
+        ram_mb: 56.0,
+        sockets: 800,
+        ..docfarm_deployment()
+    }
+}
+
 /// The deployment of the site file `ppdn-docfarm-fleet`.
 pub fn docfarm_deployment() -> Deployment {
     Deployment {
@@ -94,20 +135,25 @@
 
 impl Cluster {
     /// Starts everything with `up` machines, `capacity` at most. The `accepted` jobs were accepted before:
-    /// the state service holds their records, and the workers know them.
+    /// the state service holds their records, and the workers know them. The `ended` jobs
+    /// are done, with an archived row each.
     pub async fn start(
         folder: &Path,
         deployment: &Deployment,
         up: usize,
         capacity: usize,
         accepted: &[Job],
+        ended: &[Job],
     ) -> std::io::Result<Self> {
         const CONTROLLERS: usize = 3;
         let record = Record::create(folder)?;
         let temporary = TemporaryFolder::create()?;
         let (recorder, history) = Recorder::new(record.begin());
-        let rates = KvRates { requests: deployment.rps, writes: deployment.write_rps };
+        // The ended jobs are written by this program, at once; the controllers keep to their rate.
+        let writes = if ended.is_empty() { deployment.write_rps } else { 4000.0 };
+        let rates = KvRates { requests: deployment.rps, writes };
         let state = KvServer::start(1, CONTROLLERS, rates, &records(accepted), recorder).await?;
+        write_ended(state.addresses[0], ended).await?;
         let world = Arc::new(World {
             jobs: Mutex::new(BTreeMap::new()),
             controllers: Mutex::new(Vec::new()),
--- a/review/standins/src/scenarios/pipeline.rs
+++ b/review/standins/src/scenarios/pipeline.rs
@@ -64,7 +64,7 @@
 }
 
 pub async fn play(folder: &Path, trouble: bool) -> std::io::Result<Verdict> {
-    let mut cluster = Cluster::start(folder, &small_deployment(), 4, 8, &[]).await?;
+    let mut cluster = Cluster::start(folder, &small_deployment(), 4, 8, &[], &[]).await?;
     let record = cluster.record.clone();
     cluster.wait_until_ready(Duration::from_secs(30)).await?;
     let others: Vec<Job> = (1..=6).map(|n| Job::new(n, OTHER_TEAM, Duration::from_secs(40))).collect();
