--- a/review/standins/src/cloud.rs
+++ b/review/standins/src/cloud.rs
@@ -20,7 +20,10 @@
     pub name: &'static str,
     pub cores: f64,
     pub ram_gb: f64,
+    /// The typical time to boot, as the catalog says.
     pub startup_s: f64,
+    /// The time that a rented machine really takes.
+    pub boot_s: f64,
 }
 
 enum Message {
@@ -192,7 +195,7 @@
             if granted == 0 {
                 return response(503, &MapBuilder::new().set("error", "no capacity").build());
             }
-            let boot = Duration::from_secs_f64(self.build.startup_s);
+            let boot = Duration::from_secs_f64(self.build.boot_s);
             let names: Vec<String> = (0..granted).map(|_| self.rent(zone, spot, boot)).collect();
             self.world.record.line(&format!("hire {hire}: {names:?}"));
             self.hires.insert(hire.clone(), names);
--- a/review/standins/src/scenarios.rs
+++ b/review/standins/src/scenarios.rs
@@ -1,7 +1,9 @@
 //! The scenarios of the cases.
 
+mod circle;
 mod cluster;
 mod fan_in;
+mod mistake;
 mod pipeline;
 mod release;
 
@@ -13,6 +15,8 @@
 pub async fn play(name: &str, folder: &Path, trouble: bool) -> std::io::Result<Verdict> {
     match name {
         "fan-in" => fan_in::play(folder, trouble).await,
+        "mistake" => mistake::play(folder, trouble).await,
+        "circle" => circle::play(folder, trouble).await,
         "release" => release::play(folder, trouble).await,
         "pipeline" => pipeline::play(folder, trouble).await,
         _ => Err(std::io::Error::other(format!("there is no scenario {name}"))),
--- a/review/standins/src/scenarios/cluster.rs
+++ b/review/standins/src/scenarios/cluster.rs
@@ -131,7 +131,9 @@
 }
 
 /// Its larger machine type.
-pub const BUILD: Build = Build { name: "zhong-16", cores: 16.0, ram_gb: 64.0, startup_s: 30.0 };
+pub const BUILD: Build = Build { name: "zhong-16", cores: 16.0, ram_gb: 64.0, startup_s: 30.0, boot_s: 30.0 };
+/// A machine type of the same size that boots faster.
+pub const FAST_BUILD: Build = Build { startup_s: 15.0, boot_s: 10.0, ..BUILD };
 
 impl Cluster {
     /// Starts everything with `up` machines, `capacity` at most. The `accepted` jobs were accepted before:
@@ -140,6 +142,7 @@
     pub async fn start(
         folder: &Path,
         deployment: &Deployment,
+        build: Build,
         up: usize,
         capacity: usize,
         accepted: &[Job],
@@ -172,7 +175,7 @@
             *list = chosen.serve_addresses();
         }
         drop(chosen);
-        let cloud = Cloud::start(BUILD, deployment.zones.clone(), lag_s, up, capacity, world.clone()).await?;
+        let cloud = Cloud::start(build, deployment.zones.clone(), lag_s, up, capacity, world.clone()).await?;
         let clouds = [cloud.address; CONTROLLERS];
         let mut controllers =
             Controllers::prepare(CONTROLLERS, &temporary.0, deployment, &state.addresses, &clouds).await?;
@@ -229,7 +232,7 @@
     /// Uploads a job's description for the workers.
     pub fn upload(&self, job: &Job) {
         let run = (!job.service).then_some(job.run);
-        let facts = JobFacts { cores: job.cores, ram_gb: job.ram_gb, tasks: job.tasks, run };
+        let facts = JobFacts { cores: job.cores, ram_gb: job.ram_gb, tasks: job.tasks, run, mistaken: job.mistaken, bundle: job.bundle, pull_gb: job.pull_gb };
         if let Ok(mut jobs) = self.world.jobs.lock() {
             jobs.insert(job.id.clone(), facts);
         }
--- a/review/standins/src/scenarios/fan_in.rs
+++ b/review/standins/src/scenarios/fan_in.rs
@@ -5,7 +5,7 @@
 use std::path::Path;
 use std::time::Duration;
 
-use super::cluster::{Cluster, next_deployment};
+use super::cluster::{BUILD, Cluster, next_deployment};
 use crate::Verdict;
 use crate::record::Record;
 use crate::users::{self, ConnectedUser, Job};
@@ -40,7 +40,7 @@
 
 pub async fn play(folder: &Path, trouble: bool) -> std::io::Result<Verdict> {
     let ended: Vec<Job> = (0..AWAITED).map(|n| Job::new(1000 + n, TEAM, Duration::from_secs(5))).collect();
-    let cluster = Cluster::start(folder, &next_deployment(), 8, 8, &[], &ended).await?;
+    let cluster = Cluster::start(folder, &next_deployment(), BUILD, 8, 8, &[], &ended).await?;
     let record = cluster.record.clone();
     cluster.wait_until_ready(Duration::from_secs(20)).await?;
     // Ordinary jobs of another team: some end soon, some run on.
--- a/review/standins/src/scenarios/pipeline.rs
+++ b/review/standins/src/scenarios/pipeline.rs
@@ -7,7 +7,7 @@
 
 use tokio::sync::mpsc;
 
-use super::cluster::{Cluster, small_deployment};
+use super::cluster::{BUILD, Cluster, small_deployment};
 use crate::Verdict;
 use crate::record::Record;
 use crate::users::{self, Job};
@@ -15,9 +15,9 @@
 const TEAM: &str = "archive-crew-00";
 const OTHER_TEAM: &str = "archive-crew-01";
 /// Steps of the pipeline; each has a full and a short variant that may run side by side.
-const STEPS: u32 = 28;
+const STEPS: u32 = 29;
 /// Estimate for a task of the first step, in seconds; it doubles with each step.
-const FIRST_ESTIMATE_S: f64 = 0.005;
+const FIRST_ESTIMATE_S: f64 = 0.003;
 /// The deadline of the whole pipeline: 30 days, more than all its steps take by the estimates.
 const DUE_S: f64 = 30.0 * 86_400.0;
 /// A job about which no question is answered for this long counts as forgotten.
@@ -64,7 +64,7 @@
 }
 
 pub async fn play(folder: &Path, trouble: bool) -> std::io::Result<Verdict> {
-    let mut cluster = Cluster::start(folder, &small_deployment(), 4, 8, &[], &[]).await?;
+    let mut cluster = Cluster::start(folder, &small_deployment(), BUILD, 4, 8, &[], &[]).await?;
     let record = cluster.record.clone();
     cluster.wait_until_ready(Duration::from_secs(30)).await?;
     let others: Vec<Job> = (1..=6).map(|n| Job::new(n, OTHER_TEAM, Duration::from_secs(40))).collect();
--- a/review/standins/src/scenarios/release.rs
+++ b/review/standins/src/scenarios/release.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 use std::time::Duration;
 
-use super::cluster::{Cluster, docfarm_deployment};
+use super::cluster::{BUILD, Cluster, docfarm_deployment};
 use crate::Verdict;
 use crate::users::{self, ConnectedUser, Job};
 
@@ -24,7 +24,7 @@
         let job = Job::new(1000 + n, TEAM, Duration::from_secs(20));
         accepted.push(Job { class: "glossary-sync", awaits: vec![first.id.clone()], ..job });
     }
-    let cluster = Cluster::start(folder, &docfarm_deployment(), 65, 65, &accepted, &[]).await?;
+    let cluster = Cluster::start(folder, &docfarm_deployment(), BUILD, 65, 65, &accepted, &[]).await?;
     let record = cluster.record.clone();
     cluster.wait_until_ready(Duration::from_secs(20)).await?;
     let long = Job { class: "manual-rebuild", ..Job::new(2, OTHER_TEAM, Duration::from_secs(300)) };
--- a/review/standins/src/users.rs
+++ b/review/standins/src/users.rs
@@ -25,8 +25,13 @@
     pub due_s: Option<f64>,
     pub awaits: Vec<String>,
     pub together: bool,
+    pub loaners: bool,
+    pub bundle: &'static str,
+    pub pull_gb: f64,
     /// How long a task really runs; not part of the submission.
     pub run: Duration,
+    /// Whether its tasks fail on every machine; not part of the submission.
+    pub mistaken: bool,
 }
 
 impl Job {
@@ -45,7 +50,11 @@
             due_s: None,
             awaits: Vec::new(),
             together: false,
+            loaners: false,
+            bundle: "img-07",
+            pull_gb: 0.1,
             run,
+            mistaken: false,
         }
     }
 
@@ -63,11 +72,11 @@
             .set("cores", self.cores)
             .set("accelerators", 0.0)
             .set("ramGb", self.ram_gb)
-            .set("bundle", "img-07")
-            .set("pullGb", 0.1)
+            .set("bundle", self.bundle)
+            .set("pullGb", self.pull_gb)
             .set("together", self.together)
             .set("scatter", false)
-            .set("loaners", false)
+            .set("loaners", self.loaners)
             .set("reckonS", self.estimate_s)
             .set("bookmarkS", 0.0)
             .set("stashS", 0.0)
--- a/review/standins/src/workers.rs
+++ b/review/standins/src/workers.rs
@@ -22,8 +22,8 @@
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(4);
 /// The shortest time between two reports.
 const MIN_INTERVAL: Duration = Duration::from_millis(500);
-/// How long a machine fetches an image; it then has it.
-const FETCH: Duration = Duration::from_millis(300);
+/// How fast a machine fetches an image; it then has it.
+const FETCH_GB_PER_S: f64 = 0.3;
 
 /// What a worker knows of a job: users upload it.
 #[derive(Clone, Copy)]
@@ -33,6 +33,10 @@
     pub tasks: u32,
     /// How long a task runs; `None` until it is stopped.
     pub run: Option<Duration>,
+    /// Whether its tasks fail at their end: the job was submitted with a mistake.
+    pub mistaken: bool,
+    pub bundle: &'static str,
+    pub pull_gb: f64,
 }
 
 /// What all workers share.
@@ -114,6 +118,8 @@
     last_report: Instant,
     in_flight: bool,
     hung_until: Instant,
+    /// Images that the machine has, or fetches until then.
+    images: BTreeMap<&'static str, Instant>,
 }
 
 /// Starts a worker.
@@ -143,6 +149,7 @@
         last_report: now,
         in_flight: false,
         hung_until: now,
+        images: BTreeMap::new(),
     };
     tokio::spawn(async move {
         loop {
@@ -256,9 +263,13 @@
                     }
                 }
                 State::Running(Some(until)) if now >= until => {
-                    task.state = State::Exited("done");
+                    let job = task.sheet.split('/').next().unwrap_or_default();
+                    let mistaken =
+                        self.world.jobs.lock().is_ok_and(|jobs| jobs.get(job).is_some_and(|job| job.mistaken));
+                    let cause = if mistaken { "error" } else { "done" };
+                    task.state = State::Exited(cause);
                     if job_is_small(&self.world, &task.sheet) {
-                        self.world.record.line(&format!("{} done {} try {}", self.machine.name, task.sheet, task.attempt));
+                        self.world.record.line(&format!("{} {cause} {} try {}", self.machine.name, task.sheet, task.attempt));
                     }
                 }
                 _ => continue,
@@ -392,7 +403,10 @@
             {
                 State::Exited("no_room")
             }
-            Some(_) => State::Fetching(now + FETCH),
+            Some(job) => {
+                let fetch = Duration::from_secs_f64(job.pull_gb / FETCH_GB_PER_S);
+                State::Fetching(*self.images.entry(job.bundle).or_insert(now + fetch))
+            }
         };
         self.tasks.push(Task { sheet: sheet.to_owned(), attempt, state });
     }
