Log a turn of the actor while it still lasts, and count the graph's steps

Cause: nothing told what a controller does that hangs in one turn. `turns` and the line "took too long" report turns that have ended, and the actor's thread runs nothing else until then.

Change: a thread samples the current turn every eighth of the lease and logs one that has lasted from one sample to the next, again each time that it has lasted twice as long, with the request that it handles. `dependencySteps` in `status` counts jobs looked at and edges followed in the graph of dependencies. No decision changes.

--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -81,6 +81,9 @@
     start_election(&config, &incarnation, kv.clone(), role_sender, resigned_epoch_receiver);
     let (controller, inputs, handle) =
         Controller::new(config.clone(), kv, cloud, is_leader, lease_expiry, resigned_epoch, roles);
+    if let Err(error) = controller.start_watchdog() {
+        tracing::error!(%error, "no watchdog of the actor's turns");
+    }
     start_peer_server(settings.peer_listen, handle.clone());
     start_http_server(listener, &settings.cluster, handle);
 
--- a/src/coordination/controller/mod.rs
+++ b/src/coordination/controller/mod.rs
@@ -44,6 +44,7 @@
 mod user_replies;
 mod worker_redirects;
 
+use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -141,7 +142,21 @@
             Message::Event(_) => TurnKind::Event,
             Message::Tick => TurnKind::Tick,
             Message::Heartbeat(_) => TurnKind::Heartbeat,
-            Message::Request(_) => TurnKind::Request,
+            Message::Request(request) => request.turn_kind(),
+        }
+    }
+}
+
+impl RequestMessage {
+    fn turn_kind(&self) -> TurnKind {
+        match self {
+            RequestMessage::Call { call: PeerCall::Submit(_), .. } => TurnKind::Submission,
+            RequestMessage::Call { call: PeerCall::Cancel(_), .. } => TurnKind::Cancellation,
+            RequestMessage::Call { call: PeerCall::Poll(_), .. } => TurnKind::Poll,
+            RequestMessage::Call { call: PeerCall::Heartbeat(_), .. } => TurnKind::Heartbeat,
+            RequestMessage::Call { call: PeerCall::LeaderQuery, .. } | RequestMessage::Status { .. } => {
+                TurnKind::Status
+            }
         }
     }
 }
@@ -193,6 +208,15 @@
         (controller, inputs, handle)
     }
 
+    /// Starts a thread that logs a turn of this actor which lasts too long while it still lasts.
+    ///
+    /// # Errors
+    ///
+    /// If the system starts no thread.
+    pub fn start_watchdog(&self) -> io::Result<()> {
+        self.turns.start_watchdog()
+    }
+
     /// Handles messages until the election ends.
     pub async fn run(mut self, mut inputs: Inputs) {
         let mut tick = tokio::time::interval(TICK_INTERVAL);
@@ -219,6 +243,7 @@
     /// Handles one message, and performs the effects that it has.
     fn take_turn(&mut self, message: Message) {
         let (began, kind) = (Instant::now(), message.kind());
+        self.turns.begin(kind);
         match message {
             Message::Role(role) => self.handle_role(role),
             Message::Event(event) => self.handle_event(event),
--- a/src/coordination/controller/turns.rs
+++ b/src/coordination/controller/turns.rs
@@ -1,11 +1,16 @@
 //! Measures the turns of a controller's actor. While a turn lasts, the thread that the election and
 //! the key-value client share with the actor does nothing else, so long turns endanger the lease.
 
+mod watchdog;
+
+use std::io;
+use std::sync::Arc;
 use std::time::Duration;
 
 use ciborium::value::Value;
 use tokio::time::Instant;
 
+use crate::coordination::controller::turns::watchdog::CurrentTurn;
 use crate::numeric::whole_ms;
 use crate::protocol::cbor::MapBuilder;
 
@@ -20,7 +25,11 @@
     Event,
     Tick,
     Heartbeat,
-    Request,
+    Submission,
+    Cancellation,
+    Poll,
+    /// A question of another controller, or for the metrics.
+    Status,
 }
 
 impl TurnKind {
@@ -30,7 +39,18 @@
             TurnKind::Event => "event",
             TurnKind::Tick => "periodic",
             TurnKind::Heartbeat => "heartbeat",
-            TurnKind::Request => "request",
+            TurnKind::Submission | TurnKind::Cancellation | TurnKind::Poll | TurnKind::Status => "request",
+        }
+    }
+
+    /// Which request is handled in a turn named `request`; empty for other turns.
+    fn call(self) -> &'static str {
+        match self {
+            TurnKind::Role | TurnKind::Event | TurnKind::Tick | TurnKind::Heartbeat => "",
+            TurnKind::Submission => "submission",
+            TurnKind::Cancellation => "cancellation",
+            TurnKind::Poll => "poll",
+            TurnKind::Status => "status",
         }
     }
 }
@@ -41,6 +61,7 @@
     longest: Duration,
     longest_kind: Option<TurnKind>,
     over_bound: u64,
+    current: Arc<CurrentTurn>,
 }
 
 impl Turns {
@@ -51,11 +72,27 @@
             longest: Duration::ZERO,
             longest_kind: None,
             over_bound: 0,
+            current: Arc::new(CurrentTurn::default()),
         }
     }
 
+    /// Starts a thread that logs a turn which exceeds the bound while it still lasts.
+    ///
+    /// # Errors
+    ///
+    /// If the system starts no thread.
+    pub(super) fn start_watchdog(&self) -> io::Result<()> {
+        watchdog::start(&self.current, self.bound)
+    }
+
+    /// Records that a turn begins.
+    pub(super) fn begin(&self, kind: TurnKind) {
+        self.current.begin(kind);
+    }
+
     /// Records a turn that began at `began` and ends at `now`; logs one that exceeds the bound.
     pub(super) fn record(&mut self, kind: TurnKind, began: Instant, now: Instant) {
+        self.current.end();
         let turn = now - began;
         if turn > self.longest {
             self.longest = turn;
@@ -63,7 +100,8 @@
         }
         if turn > self.bound {
             self.over_bound += 1;
-            tracing::error!(kind = kind.name(), turn_ms = whole_ms(turn), "turn of the actor took too long");
+            let (kind, call, turn_ms) = (kind.name(), kind.call(), whole_ms(turn));
+            tracing::error!(kind, call, turn_ms, "turn of the actor took too long");
         }
     }
 
--- a/src/coordination/jobs/dependency_graph.rs
+++ b/src/coordination/jobs/dependency_graph.rs
@@ -108,6 +108,8 @@
 #[derive(Debug, Default)]
 pub struct DependencyGraph {
     nodes: HashMap<JobId, GraphNode>,
+    /// Jobs looked at and edges followed by all traversals.
+    steps: u64,
 }
 
 impl DependencyGraph {
@@ -142,6 +144,11 @@
         self.nodes.get(job).map_or(Cancellation::NotCancelled, |node| node.cancellation)
     }
 
+    /// Number of jobs looked at and edges followed by all traversals so far.
+    pub fn steps(&self) -> u64 {
+        self.steps
+    }
+
     /// The urgency of a job's dependents, direct and indirect.
     pub fn inherited(&self, job: &JobId) -> Option<Urgency> {
         self.nodes.get(job).and_then(|node| node.inherited)
@@ -227,7 +234,9 @@
         let mut raised = Vec::new();
         let mut work = vec![job.clone()];
         while let Some(next) = work.pop() {
+            self.steps += 1;
             for dependent in self.dependents_of(&next) {
+                self.steps += 1;
                 let Some(node) = self.nodes.get_mut(&dependent) else { continue };
                 if node.cancellation < cancellation {
                     node.cancellation = cancellation;
@@ -243,9 +252,11 @@
     fn propagate_urgency(&mut self, job: &JobId) {
         let mut work = vec![job.clone()];
         while let Some(next) = work.pop() {
+            self.steps += 1;
             let Some(node) = self.nodes.get(&next).filter(|node| !node.is_cancelled()) else { continue };
             let Some(urgency) = node.urgency_for_dependencies() else { continue };
             for id in node.unmet.clone() {
+                self.steps += 1;
                 let Some(dependency) = self.nodes.get_mut(&id) else { continue };
                 let inherited = dependency.inherited.map_or(urgency, |before| before.most_urgent(urgency));
                 if dependency.inherited != Some(inherited) {
@@ -262,6 +273,7 @@
         let mut work = vec![job.clone()];
         while let Some(next) = work.pop() {
             let Some(node) = self.nodes.get(&next) else { continue };
+            self.steps += 1 + node.dependents.len() as u64;
             let dependents = node.dependents.iter().filter_map(|dependent| self.nodes.get(dependent));
             let live = dependents.filter(|dependent| !dependent.is_cancelled());
             let inherited = live.filter_map(GraphNode::urgency_for_dependencies).reduce(Urgency::most_urgent);
--- a/src/coordination/leader/metrics.rs
+++ b/src/coordination/leader/metrics.rs
@@ -45,6 +45,7 @@
             .set("epoch", self.epoch())
             .set("jobs", self.jobs.len() as u64)
             .set("jobsWaitingForOthers", self.count_jobs(waiting_for_others))
+            .set("dependencySteps", self.dependencies.steps())
             .set("recordsWithNamedBlocks", self.count_jobs(|job| job.record.block_tasks.is_some()))
             .set("tasksWaiting", totals.tasks_pending)
             .set("tasksActive", totals.tasks_active as u64)
