Restore pipelines at a failover with dependents first

Seen by callers: nothing was reported. A new leader inserts all unfinished jobs into the graph of dependencies in one turn, and answers nobody meanwhile.

Cause: the jobs went in by the order of their rows. Where dependencies come first and each job has a deadline, each insertion changes what all jobs before it inherit, so the turn grows with the square of a pipeline's length.

Change: the jobs are put in topological order first, which follows each edge once; each is inserted when what it inherits is final. Ranks then need no repair either.

Test, failing before: `a_new_leader_restores_a_pipeline_at_the_cost_of_its_edges` takes 90,900 steps for 300 jobs, with a bound of 1,803.

--- a/src/coordination/jobs/dependencies.rs
+++ b/src/coordination/jobs/dependencies.rs
@@ -14,6 +14,7 @@
 use crate::coordination::jobs::dependency_graph::{Cancellation, NewDependent, Urgency};
 use crate::coordination::jobs::dependency_state::{DependencyState, DependencyStates};
 use crate::coordination::jobs::job::Job;
+use crate::coordination::jobs::topological_order::dependents_first;
 use crate::coordination::leader::Leader;
 use crate::protocol::jobs::{JobId, JobSpec};
 
@@ -161,6 +162,11 @@
         }
     }
 
+    /// Orders jobs in memory so that each comes before those of them that it depends on.
+    pub(crate) fn dependents_first(&self, jobs: &[JobId]) -> Vec<JobId> {
+        dependents_first(jobs, |id| self.jobs.get(id).map_or(&[], |job| &job.spec().dependencies))
+    }
+
     /// Restores the dependencies of a job that was read from the store. The job waits for each
     /// dependency that is not known to be done or cancelled, including those that are neither in
     /// memory nor in `read_states`.
--- a/src/coordination/jobs/mod.rs
+++ b/src/coordination/jobs/mod.rs
@@ -6,9 +6,10 @@
 //! committed, and unfinished until then. A task is waiting, or pending, while it is neither done
 //! nor assigned to a machine.
 //!
-//! Dependencies are in three modules: [`dependency_graph`] holds the edges between jobs,
-//! [`dependency_state`] is what a record says of a job that others depend on, and
-//! [`dependencies`] are the leader's operations on both.
+//! Dependencies are in four modules: [`dependency_graph`] holds the edges between jobs,
+//! [`dependency_state`] is what a record says of a job that others depend on,
+//! [`dependencies`] are the leader's operations on both, and [`topological_order`] is the order in
+//! which a new leader inserts the jobs that it has read into the graph.
 
 pub mod admission;
 pub mod admissions;
@@ -24,4 +25,5 @@
 pub mod record_writes;
 pub mod resources;
 pub mod task_placements;
+pub mod topological_order;
 pub mod write_queue;
--- a/src/coordination/recovery/failover.rs
+++ b/src/coordination/recovery/failover.rs
@@ -115,7 +115,8 @@
     }
 
     /// Restores jobs as they were read. All jobs are added before their dependencies are
-    /// resolved, because they may depend on one another.
+    /// resolved, because they may depend on one another. Dependents come first, so that each job
+    /// enters the dependency graph when its inherited urgency is final.
     pub(crate) fn restore_jobs(
         &mut self,
         now: Instant,
@@ -127,7 +128,7 @@
         for job in jobs {
             self.restore_job(now, now_ms, job);
         }
-        for id in ids {
+        for id in self.dependents_first(&ids) {
             self.restore_dependencies(now, now_ms, &id, dependency_states);
         }
         self.cancel_restored_dependents(now);
--- a/src/coordination/tests/dependencies.rs
+++ b/src/coordination/tests/dependencies.rs
@@ -435,3 +435,26 @@
     harness.commit_all();
     assert!(harness.starts_for_heartbeat(3, vec![]).is_empty());
 }
+
+/// Guards against a failover whose turn grows with the square of a pipeline's length: each job has a
+/// deadline of its own, and every job that is inserted changes what all before it inherit.
+#[test]
+fn a_new_leader_restores_a_pipeline_at_the_cost_of_its_edges() {
+    const LENGTH: u32 = 300;
+    let job_name = |number: u32| format!("job-{number:03}");
+    let snapshot = |number: u32| {
+        let spec = dependent_job(&job_name(number), &[&job_name(number - 1)]);
+        unstarted_job(JobSpec { deadline_s: Some(100_000.0), ..spec })
+    };
+    let in_order = harness_with_snapshot((1..=LENGTH).map(snapshot).collect(), &[]);
+    let reversed = harness_with_snapshot((1..=LENGTH).rev().map(snapshot).collect(), &[]);
+    for harness in [in_order, reversed] {
+        let (jobs, edges) = (u64::from(LENGTH) + 1, u64::from(LENGTH));
+        // Ranks, cancellations and urgencies each visit a job and follow an edge once.
+        let max_steps = 3 * (jobs + edges);
+        let steps = harness.leader.dependencies.steps();
+        assert!(steps <= max_steps, "{steps} steps");
+        let first = harness.leader.dependencies.inherited(&id(&job_name(0)));
+        assert!(first.is_some_and(|urgency| urgency.finish_by.is_some()));
+    }
+}
