Decide recorded jobs once instead of walking their dependencies at each poll

Seen by callers: nothing was reported.

Cause: `RecordedJobs::status` walked all dependencies of an undecided job at every poll and remembered the result for that job alone. As long as one dependency is unknown nothing is remembered, so polls cost their number times the edges of the pipeline.

Change: a job counts its undecided dependencies. It is decided when the last one is, and then decides those that wait for it: two looks at each dependency, however often users ask. Jobs in a circle, which only contradictory records contain, are decided once everything is known. `dependency_steps` in the log line of a leader without state counts the looks.

--- a/src/coordination/controller/snapshot_loader.rs
+++ b/src/coordination/controller/snapshot_loader.rs
@@ -134,8 +134,15 @@
         reading.log_at = now + self.lease;
         let reading_ms = whole_ms(now - reading.started_at);
         let (epoch, jobs) = (reading.epoch, reading.jobs.map(count_u32));
-        let records_read = reading.recorded.job_count();
-        tracing::error!(epoch, reading_ms, jobs, records_read, "leader without state, snapshot incomplete");
+        let (records_read, dependency_steps) = (reading.recorded.job_count(), reading.recorded.steps());
+        tracing::error!(
+            epoch,
+            reading_ms,
+            jobs,
+            records_read,
+            dependency_steps,
+            "leader without state, snapshot incomplete"
+        );
     }
 
     /// Stops reading, since the epoch is over.
--- a/src/coordination/recovery/recorded_jobs.rs
+++ b/src/coordination/recovery/recorded_jobs.rs
@@ -31,22 +31,60 @@
     }
 }
 
-/// What is known of a job on which others depend.
-enum Dependency<'a> {
+/// What a job on which others depend, and whose own state is known, means for them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Outcome {
     /// It does not cancel the jobs that depend on it.
     Harmless,
     Cancelled,
-    /// It is cancelled if one of these is.
-    Waits(&'a [JobId]),
-    Unknown,
+}
+
+/// A job whose record has been read.
+#[derive(Debug)]
+struct KnownJob {
+    status: JobStatus,
+    /// Number of its dependencies that may still turn out to be cancelled.
+    undecided: usize,
+}
+
+impl KnownJob {
+    fn is_decided(&self) -> bool {
+        self.undecided == 0
+    }
+
+    fn outcome(&self) -> Option<Outcome> {
+        let outcome =
+            if self.status.state == JobState::Cancelled { Outcome::Cancelled } else { Outcome::Harmless };
+        self.is_decided().then_some(outcome)
+    }
+
+    /// Takes the outcome of one dependency into account.
+    fn apply(&mut self, outcome: Outcome) {
+        match outcome {
+            Outcome::Harmless => self.undecided = self.undecided.saturating_sub(1),
+            Outcome::Cancelled => {
+                self.status.state = JobState::Cancelled;
+                self.undecided = 0;
+            }
+        }
+    }
 }
 
 /// The jobs whose records have been read in one epoch.
+///
+/// Each job is decided when its last dependency is, and then decides those that wait for it. So each
+/// dependency is looked at twice at most, however often users ask.
 #[derive(Debug, Default)]
 pub struct RecordedJobs {
-    jobs: HashMap<JobId, RecordedJob>,
+    jobs: HashMap<JobId, KnownJob>,
     /// Dependencies that are not among the unfinished jobs.
     dependencies: HashMap<JobId, DependencyState>,
+    /// For each undecided dependency, the jobs that wait for it.
+    waiting: HashMap<JobId, Vec<JobId>>,
+    /// Those of the undecided dependencies that are not among the jobs.
+    unknown: HashSet<JobId>,
+    /// Dependencies looked at so far.
+    steps: u64,
 }
 
 impl RecordedJobs {
@@ -55,66 +93,96 @@
         self.jobs.len()
     }
 
-    /// Adds a job.
+    /// Number of dependencies looked at so far.
+    pub fn steps(&self) -> u64 {
+        self.steps
+    }
+
+    /// Adds a job. What has been decided about it stays.
     pub fn insert(&mut self, job: RecordedJob) {
-        self.jobs.insert(job.status.id.clone(), job);
+        let RecordedJob { status, dependencies } = job;
+        let id = status.id.clone();
+        if self.jobs.get(&id).is_some_and(|known| known.is_decided() || !dependencies.is_empty()) {
+            return;
+        }
+        self.unknown.remove(&id);
+        let mut known = KnownJob { status, undecided: dependencies.len() };
+        for dependency in dependencies {
+            self.steps += 1;
+            match self.outcome(&dependency) {
+                Some(outcome) => known.apply(outcome),
+                None => self.wait_for(dependency, &id),
+            }
+        }
+        self.jobs.insert(id.clone(), known);
+        self.decide_waiting(id);
     }
 
     /// Adds the state of a job on which others depend.
     pub fn insert_dependency(&mut self, job: JobId, state: DependencyState) {
-        self.dependencies.insert(job, state);
+        self.dependencies.insert(job.clone(), state);
+        if self.outcome(&job).is_some() {
+            self.unknown.remove(&job);
+            self.decide_waiting(job);
+        }
     }
 
     /// The job's status; `None` if its record, or that of a dependency which may have cancelled it,
-    /// has not been read. Decided states are kept, so that each is determined once.
+    /// has not been read.
     pub fn status(&mut self, job: &JobId) -> Option<JobStatus> {
-        let recorded = self.jobs.get(job)?;
-        if !recorded.dependencies.is_empty() {
-            let is_cancelled = self.is_cancelled_by_dependencies(&recorded.dependencies)?;
-            let recorded = self.jobs.get_mut(job)?;
-            recorded.dependencies.clear();
-            if is_cancelled {
-                recorded.status.state = JobState::Cancelled;
-            }
+        if self.unknown.is_empty() {
+            self.decide_circles();
         }
-        self.jobs.get(job).map(|recorded| recorded.status.clone())
+        self.jobs.get(job).filter(|known| known.is_decided()).map(|known| known.status.clone())
     }
 
-    /// Whether one of these jobs, or one on which they depend, is cancelled; `None` if none is known
-    /// to be and not all are known.
-    fn is_cancelled_by_dependencies(&self, dependencies: &[JobId]) -> Option<bool> {
-        let mut seen: HashSet<&JobId> = HashSet::default();
-        let mut unvisited: Vec<&JobId> = dependencies.iter().collect();
-        let mut all_known = true;
-        while let Some(dependency) = unvisited.pop() {
-            if !seen.insert(dependency) {
-                continue;
+    fn wait_for(&mut self, dependency: JobId, job: &JobId) {
+        if !self.jobs.contains_key(&dependency) {
+            self.unknown.insert(dependency.clone());
+        }
+        self.waiting.entry(dependency).or_default().push(job.clone());
+    }
+
+    /// Tells the jobs that wait for this one, directly or not, of its outcome if it is decided.
+    fn decide_waiting(&mut self, job: JobId) {
+        let mut work = vec![job];
+        while let Some(dependency) = work.pop() {
+            let Some(outcome) = self.outcome(&dependency) else { continue };
+            for id in self.waiting.remove(&dependency).unwrap_or_default() {
+                self.steps += 1;
+                let Some(known) = self.jobs.get_mut(&id).filter(|known| !known.is_decided()) else {
+                    continue;
+                };
+                known.apply(outcome);
+                if known.is_decided() {
+                    work.push(id);
+                }
             }
-            match self.dependency(dependency) {
-                Dependency::Harmless => {}
-                Dependency::Cancelled => return Some(true),
-                Dependency::Waits(further) => unvisited.extend(further),
-                Dependency::Unknown => all_known = false,
+        }
+    }
+
+    /// Decides the jobs that are left once every dependency is known. They wait for each other in a
+    /// circle, which only contradictory records contain, and none is cancelled.
+    fn decide_circles(&mut self) {
+        for job in std::mem::take(&mut self.waiting).into_values().flatten() {
+            if let Some(known) = self.jobs.get_mut(&job) {
+                known.undecided = 0;
             }
         }
-        all_known.then_some(false)
     }
 
-    fn dependency(&self, job: &JobId) -> Dependency<'_> {
-        if let Some(recorded) = self.jobs.get(job) {
-            return match recorded.status.state {
-                JobState::Cancelled => Dependency::Cancelled,
-                JobState::Done => Dependency::Harmless,
-                JobState::Queued | JobState::Running => Dependency::Waits(&recorded.dependencies),
-            };
+    /// What the job means for those that depend on it; `None` while that is not known.
+    fn outcome(&self, job: &JobId) -> Option<Outcome> {
+        if let Some(known) = self.jobs.get(job) {
+            return known.outcome();
         }
-        match self.dependencies.get(job) {
-            Some(DependencyState::Cancelled) => Dependency::Cancelled,
-            Some(DependencyState::Done { .. } | DependencyState::Service | DependencyState::Absent) => {
-                Dependency::Harmless
+        match self.dependencies.get(job)? {
+            DependencyState::Cancelled => Some(Outcome::Cancelled),
+            DependencyState::Done { .. } | DependencyState::Service | DependencyState::Absent => {
+                Some(Outcome::Harmless)
             }
             // An unfinished job without a live row: what it depends on has not been read.
-            Some(DependencyState::Unfinished | DependencyState::Unreadable) | None => Dependency::Unknown,
+            DependencyState::Unfinished | DependencyState::Unreadable => None,
         }
     }
 }
--- a/src/coordination/recovery/recorded_jobs/tests.rs
+++ b/src/coordination/recovery/recorded_jobs/tests.rs
@@ -74,3 +74,36 @@
     jobs.insert(RecordedJob::decided(status.clone()));
     assert_eq!(jobs.status(&id("job-1")), Some(status));
 }
+
+/// Guards against polls during a failover that each walk through all dependencies of a pipeline,
+/// while one of them is not known yet.
+#[test]
+fn polls_do_not_follow_the_dependencies_of_a_pipeline_again() {
+    const LENGTH: u64 = 200;
+    const POLLS_PER_JOB: u64 = 5;
+    let name = |number: u64| format!("job-{number}");
+    let mut jobs = RecordedJobs::default();
+    for number in 1..=LENGTH {
+        jobs.insert(recorded(&name(number), &[&name(number - 1)]));
+    }
+    let poll_all = |jobs: &mut RecordedJobs, expected: Option<JobState>| {
+        for number in (1..=LENGTH).rev().flat_map(|number| vec![number; POLLS_PER_JOB as usize]) {
+            assert_eq!(state(jobs, &name(number)), expected);
+        }
+    };
+    poll_all(&mut jobs, None);
+    jobs.insert_dependency(id(&name(0)), DependencyState::Done { at_ms: None });
+    poll_all(&mut jobs, Some(JobState::Queued));
+    // One look at each dependency when its dependent is read, and one when it is decided.
+    assert!(jobs.steps() <= 2 * LENGTH, "{} steps", jobs.steps());
+}
+
+#[test]
+fn a_job_waits_for_a_dependency_that_it_names_twice() {
+    let mut jobs = RecordedJobs::default();
+    jobs.insert(recorded("job-1", &["job-2", "job-2", "job-3"]));
+    jobs.insert(recorded("job-2", &[]));
+    assert_eq!(state(&mut jobs, "job-1"), None);
+    jobs.insert(recorded("job-3", &[]));
+    assert_eq!(state(&mut jobs, "job-1"), Some(JobState::Queued));
+}
