Measure the graph of dependencies in the hot_paths benchmark

The benchmark had no dependencies at all, so a cost that grows with their shape did not show. Chains, diamonds and dependents of one job are built from both ends and taken down again, at 100, 1,000 and 10,000 jobs, printed for each edge as a multiple of the smallest.

--- a/benches/hot_paths.rs
+++ b/benches/hot_paths/main.rs
@@ -6,6 +6,8 @@
 
 #![allow(clippy::cast_possible_truncation, reason = "counts are small here")]
 
+mod dependency_graph;
+
 use std::path::Path;
 use std::sync::Arc;
 use std::time::{Duration, Instant as Clock};
@@ -309,4 +311,5 @@
         "a heartbeat that places a task",
         placing.join(" ")
     );
+    dependency_graph::print_costs();
 }
