Sample turns once a lease, and give the controller's messages a module

A hang is a matter of leases, so one sample a lease is enough; shorter turns are reported when they end. What the actor handles in a turn, and whether a caller has left, moves from controller/mod.rs to `message`; the number of concurrent reads to the key-value client's `capacity`, beside the other numbers that follow from the request rate.

Measured: tests of turns and messages pass.

--- a/src/coordination/controller/mod.rs
+++ b/src/coordination/controller/mod.rs
@@ -13,9 +13,9 @@
 //! | `leadership` | the channels that publish the leadership and its lease; the last epoch led |
 //! | `readiness` | whether users and workers should be sent to this controller |
 //! | `latencies` | latency histograms |
-//! | `turns` | how long the actor's turns take |
+//! | `turns` | how long the actor's turns take; the watchdog that reports one while it lasts |
 //!
-//! `Controller` receives events and dispatches them. Its handlers are grouped by subject:
+//! `Controller` receives messages (`message`) and dispatches them. Its handlers are grouped by subject:
 //! `leader_lifecycle`, `requests`, `heartbeats`, `effects`, `tick` and `status`.
 
 mod answer_source;
@@ -30,6 +30,7 @@
 mod latencies;
 mod leader_lifecycle;
 mod leadership;
+mod message;
 mod peers;
 mod readiness;
 mod reconciliation;
@@ -55,22 +56,22 @@
 use crate::coordination::config::Config;
 use crate::coordination::controller::capacity::CapacityLimits;
 use crate::coordination::controller::concurrency_limit::ConcurrencyLimit;
-use crate::coordination::controller::events::{HeartbeatMessage, InternalEvent, ReplySender, RequestMessage};
+use crate::coordination::controller::events::{HeartbeatMessage, InternalEvent, RequestMessage};
 use crate::coordination::controller::latencies::LatencyHistograms;
 use crate::coordination::controller::leadership::{EpochGuard, LeadershipPublisher};
+use crate::coordination::controller::message::{Message, has_left};
 use crate::coordination::controller::readiness::Readiness;
 use crate::coordination::controller::reconciliation::Reconciliation;
 use crate::coordination::controller::record_reads::RecordReads;
 use crate::coordination::controller::routing::LeaderRouting;
 use crate::coordination::controller::snapshot_loader::SnapshotLoader;
-use crate::coordination::controller::turns::{TurnKind, Turns};
+use crate::coordination::controller::turns::Turns;
 use crate::coordination::controller::user_replies::UserReplies;
 use crate::coordination::election::Role;
 use crate::coordination::fleet::cloud::Cloud;
 use crate::coordination::leader::Leader;
 use crate::coordination::workers::deferred_replies::DeferredReplies;
 use crate::storage::kv::KvClient;
-use crate::transport::peer::PeerCall;
 
 pub use handle::ControllerHandle;
 
@@ -126,41 +127,6 @@
     pub roles: mpsc::Receiver<Role>,
 }
 
-/// What the actor handles in one turn.
-enum Message {
-    Role(Role),
-    Event(InternalEvent),
-    Tick,
-    Heartbeat(HeartbeatMessage),
-    Request(RequestMessage),
-}
-
-impl Message {
-    fn kind(&self) -> TurnKind {
-        match self {
-            Message::Role(_) => TurnKind::Role,
-            Message::Event(_) => TurnKind::Event,
-            Message::Tick => TurnKind::Tick,
-            Message::Heartbeat(_) => TurnKind::Heartbeat,
-            Message::Request(request) => request.turn_kind(),
-        }
-    }
-}
-
-impl RequestMessage {
-    fn turn_kind(&self) -> TurnKind {
-        match self {
-            RequestMessage::Call { call: PeerCall::Submit(_), .. } => TurnKind::Submission,
-            RequestMessage::Call { call: PeerCall::Cancel(_), .. } => TurnKind::Cancellation,
-            RequestMessage::Call { call: PeerCall::Poll(_), .. } => TurnKind::Poll,
-            RequestMessage::Call { call: PeerCall::Heartbeat(_), .. } => TurnKind::Heartbeat,
-            RequestMessage::Call { call: PeerCall::LeaderQuery, .. } | RequestMessage::Status { .. } => {
-                TurnKind::Status
-            }
-        }
-    }
-}
-
 impl Controller {
     /// Creates a controller that does not lead yet, its queues, and the handle that sends
     /// messages to them.
@@ -208,7 +174,8 @@
         (controller, inputs, handle)
     }
 
-    /// Starts a thread that logs a turn of this actor which lasts too long while it still lasts.
+    /// Starts a thread that logs a turn of this actor which lasts longer than a lease while it still
+    /// lasts.
     ///
     /// # Errors
     ///
@@ -242,7 +209,7 @@
 
     /// Handles one message, and performs the effects that it has.
     fn take_turn(&mut self, message: Message) {
-        let (began, kind) = (Instant::now(), message.kind());
+        let (began, kind) = (Instant::now(), message.turn_kind());
         self.turns.begin(kind);
         match message {
             Message::Role(role) => self.handle_role(role),
@@ -313,16 +280,5 @@
     }
 }
 
-/// Whether the sender of a call that entered the queue at `arrived` no longer waits for the answer.
-fn has_left(call: &PeerCall, reply: &ReplySender, arrived: Instant) -> bool {
-    let patience = match call {
-        PeerCall::Poll(_) => USERS_POLL_PATIENCE,
-        PeerCall::Submit(_) | PeerCall::Cancel(_) => USERS_CHANGE_PATIENCE,
-        // Heartbeats have a queue of their own, and leader queries cost nothing.
-        PeerCall::Heartbeat(_) | PeerCall::LeaderQuery => return reply.is_closed(),
-    };
-    reply.is_closed() || arrived.elapsed() >= patience
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/coordination/controller/turns.rs
+++ b/src/coordination/controller/turns.rs
@@ -57,6 +57,7 @@
 
 /// The turns since the process started.
 pub(super) struct Turns {
+    lease: Duration,
     bound: Duration,
     longest: Duration,
     longest_kind: Option<TurnKind>,
@@ -68,6 +69,7 @@
     /// Measures turns against a leader's lease of this duration.
     pub(super) fn new(lease: Duration) -> Self {
         Turns {
+            lease,
             bound: lease / BOUND_LEASE_DIVISOR,
             longest: Duration::ZERO,
             longest_kind: None,
@@ -76,13 +78,13 @@
         }
     }
 
-    /// Starts a thread that logs a turn which exceeds the bound while it still lasts.
+    /// Starts a thread that logs a turn which lasts longer than a lease while it still lasts.
     ///
     /// # Errors
     ///
     /// If the system starts no thread.
     pub(super) fn start_watchdog(&self) -> io::Result<()> {
-        watchdog::start(&self.current, self.bound)
+        watchdog::start(&self.current, self.lease)
     }
 
     /// Records that a turn begins.
--- a/src/storage/kv.rs
+++ b/src/storage/kv.rs
@@ -37,11 +37,6 @@
 const WRITE_MARKER: &str = "by";
 /// Number of keys requested per page of a scan.
 const SCAN_PAGE_SIZE: usize = 500;
-/// Time in which the store's whole request rate could serve the reads started at the same time, in
-/// seconds.
-const READ_AHEAD_S: f64 = 0.1;
-/// Lower bound on the reads started at the same time.
-const MIN_CONCURRENT_READS: usize = 8;
 /// Bytes that a comparison takes in a transaction in addition to its key, rounded up.
 const COMPARE_OVERHEAD_BYTES: usize = 48;
 /// Bytes that a change takes in a transaction in addition to its key and value, rounded up.
@@ -137,7 +132,7 @@
     /// Number of reads worth starting at the same time: enough to use the rate of the requests.
     /// Further ones would only wait, and keep requests of the same class from being sent.
     pub fn concurrent_reads(&self) -> usize {
-        whole_usize(self.limits().rps * READ_AHEAD_S).max(MIN_CONCURRENT_READS)
+        capacity::concurrent_reads(self.limits().rps)
     }
 
     /// Number of reads that this controller's share of the request rate serves in this time, if
--- a/src/storage/kv/capacity.rs
+++ b/src/storage/kv/capacity.rs
@@ -1,4 +1,4 @@
-//! How many requests the actor holds. The numbers grow with the store's request rate, and so with
+//! How many requests the actor holds, and how many reads are started at once. The numbers grow with the store's request rate, and so with
 //! the fleet.
 
 use super::queue::Request;
@@ -15,6 +15,18 @@
 /// Bounds on the requests that are queued before callers wait. The upper one bounds memory.
 const QUEUED_BOUNDS: (usize, usize) = (512, 65_536);
 
+/// Time in which the store's whole request rate could serve the reads started at the same time, in
+/// seconds.
+const READ_AHEAD_S: f64 = 0.1;
+/// Lower bound on the reads started at the same time.
+const MIN_CONCURRENT_READS: usize = 8;
+
+/// Number of reads worth starting at the same time with a store that serves this many requests per
+/// second.
+pub(super) fn concurrent_reads(rps: f64) -> usize {
+    whole_usize(rps * READ_AHEAD_S).max(MIN_CONCURRENT_READS)
+}
+
 /// How many requests the actor holds; grows with the store's request rate.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Capacity {
