Give the lower classes of requests to the state service a sixteenth of the turns

Cause: strict priority. A stream of reads of class admission above the rate leaves nothing to completions, users' reads and scans, however long they have waited.

Change: while requests of lower classes wait, the oldest of them is sent after fifteen others in a row. It waits for the limits of the class in whose place it goes, so that it does not hold up the others. Renewals precede all turns.

--- a/src/storage/kv/actor.rs
+++ b/src/storage/kv/actor.rs
@@ -9,7 +9,7 @@
 
 use super::batch::Batch;
 use super::capacity::Capacity;
-use super::queue::{PendingTransaction, Request, RequestQueues};
+use super::queue::{NextRequest, PendingTransaction, Request, RequestQueues};
 use super::rates::{RateLimits, RateShare};
 use super::statistics::QueueStatistics;
 use super::{HttpResult, KvClient, RequestClass};
@@ -191,7 +191,9 @@
     /// leave a reserve, so that a backlog cannot make the lease expire.
     fn next_action(&mut self, now: Instant) -> NextAction {
         self.queues.drop_abandoned(&mut self.statistics);
-        let Some((class, request)) = self.queues.first() else { return NextAction::WaitForEvent };
+        let Some(NextRequest { request, served_as: class }) = self.queues.first() else {
+            return NextAction::WaitForEvent;
+        };
         let writes = request.write_count();
         if class != RequestClass::Renewal {
             if self.in_flight >= self.capacity.limit_for(request) - RENEWAL_SLOTS {
--- a/src/storage/kv/queue.rs
+++ b/src/storage/kv/queue.rs
@@ -20,6 +20,10 @@
     RequestClass::Background,
 ];
 
+/// While requests of lower classes wait, at most this many are sent in a row before one of them is, so
+/// that no class is starved by those above it.
+const MAX_SENT_BEFORE_LOWER: usize = 15;
+
 /// A caller's request to the actor.
 pub(super) enum Request {
     /// A request that is sent unchanged and without retries.
@@ -142,11 +146,24 @@
     }
 }
 
+/// The request that is to be sent next.
+pub(super) struct NextRequest<'a> {
+    /// The request.
+    pub(super) request: &'a Request,
+    /// The class whose limits apply to it: its own, or a higher one that waits while it is its turn.
+    pub(super) served_as: RequestClass,
+}
+
 /// The waiting requests of each class, in the order in which they are to be sent.
+///
+/// Higher classes go first, but after [`MAX_SENT_BEFORE_LOWER`] of them the oldest request of the lower
+/// classes takes a turn. Renewals precede all turns.
 #[derive(Default)]
 pub(super) struct RequestQueues {
     /// Indexed by class.
     queues: [VecDeque<Request>; CLASSES.len()],
+    /// Requests sent since one of a lower class was sent or none waited.
+    sent_before_lower: usize,
 }
 
 impl RequestQueues {
@@ -184,15 +201,43 @@
         self.queues[pending.transaction.class as usize].push_front(Request::Commit(Box::new(pending)));
     }
 
-    /// The request that is to be sent next, and its class.
-    pub(super) fn first(&self) -> Option<(RequestClass, &Request)> {
-        let heads = CLASSES.into_iter().zip(&self.queues);
-        heads.filter_map(|(class, queue)| Some((class, queue.front()?))).next()
+    /// The request that is to be sent next.
+    pub(super) fn first(&self) -> Option<NextRequest<'_>> {
+        let served_as = self.highest()?;
+        let request = self.queues[self.next_class()? as usize].front()?;
+        Some(NextRequest { request, served_as })
     }
 
     /// Removes the request that is to be sent next.
     pub(super) fn pop_first(&mut self) -> Option<Request> {
-        self.queues.iter_mut().find(|queue| !queue.is_empty())?.pop_front()
+        let (highest, class) = (self.highest()?, self.next_class()?);
+        if class != highest || self.oldest_below(highest).is_none() {
+            self.sent_before_lower = 0;
+        } else if highest != RequestClass::Renewal {
+            self.sent_before_lower += 1;
+        }
+        self.queues[class as usize].pop_front()
+    }
+
+    /// The class of the request that is to be sent next.
+    fn next_class(&self) -> Option<RequestClass> {
+        let highest = self.highest()?;
+        let is_turn_of_lower =
+            highest != RequestClass::Renewal && self.sent_before_lower >= MAX_SENT_BEFORE_LOWER;
+        let lower = self.oldest_below(highest).filter(|_| is_turn_of_lower);
+        Some(lower.unwrap_or(highest))
+    }
+
+    /// The highest class of the waiting requests.
+    fn highest(&self) -> Option<RequestClass> {
+        CLASSES.into_iter().find(|&class| !self.queues[class as usize].is_empty())
+    }
+
+    /// The class below this one whose first request has waited longest.
+    fn oldest_below(&self, class: RequestClass) -> Option<RequestClass> {
+        let below = CLASSES.into_iter().filter(|&other| other > class);
+        let heads = below.filter_map(|other| Some((self.queues[other as usize].front()?.since(), other)));
+        heads.min().map(|(_, other)| other)
     }
 
     /// Removes and returns the transactions that `accepts` selects. They are passed to it in
--- a/src/storage/kv/tests.rs
+++ b/src/storage/kv/tests.rs
@@ -155,6 +155,22 @@
     }
 }
 
+/// Guards against lower classes that take more than their turns from reads that users wait for.
+#[tokio::test(start_paused = true)]
+async fn lower_classes_that_never_end_leave_a_higher_class_all_but_their_turns() {
+    serve_absent_keys();
+    let kv = kv_client_within(UNUSED_ADDRESS, KvSettings { rps: STORE_RPS, ..limits(4) });
+    let classes = [RequestClass::Admission, RequestClass::Completion, RequestClass::Background];
+    let streams = classes.map(|class| tokio::spawn(read_without_end(kv.clone(), class)));
+    tokio::time::sleep(Duration::from_secs(60)).await;
+    let sent = classes.map(|class| kv.statistics().of(class).sent);
+    streams.iter().for_each(tokio::task::JoinHandle::abort);
+    let [higher, lower] = [sent[0], sent[1] + sent[2]];
+    // One request in sixteen, and what is sent before the streams have filled the queues.
+    assert!(lower <= (higher + lower) / 16 + higher / 100, "{sent:?}");
+    assert!(sent.iter().all(|&sent| sent > 0), "{sent:?}");
+}
+
 #[tokio::test(start_paused = true)]
 async fn waits_and_callers_that_have_left_are_counted() {
     serve_absent_keys();
