End a failover's read after five malformed responses about one key

Seen by callers: nothing was reported. One record whose responses never decode kept a new leader from ever having a state: no submission, cancellation or start.

Cause: a response that cannot be decoded, or is about another key, counted as no response, and a failover repeats reads without a response until its epoch ends.

Change: such responses are an error of their own. A repeated read ends after five in a row; the job is then listed as unreadable like one whose record does not decode, waits, and is read again in the background. Dependencies, blocks of done tasks, the catalog and the learned statistics take the same way. Pages stay as they were: they concern no single key.

--- a/src/coordination/recovery/job_reads.rs
+++ b/src/coordination/recovery/job_reads.rs
@@ -100,7 +100,7 @@
         async move {
             let state = match read_record(&kv, FAILOVER_CLASS, &job).await {
                 Ok(record) => DependencyState::of(record.as_ref()),
-                Err(KvError::Rejected) => DependencyState::Unreadable,
+                Err(KvError::Rejected | KvError::Malformed) => DependencyState::Unreadable,
                 Err(error) => return Err(error),
             };
             observer.observe(SnapshotProgress::DependencyRead(job.clone(), state)).await;
@@ -184,6 +184,9 @@
     /// The record cannot be decoded.
     #[error(transparent)]
     Record(#[from] RecordError),
+    /// The store's responses about this key cannot be decoded.
+    #[error("malformed responses about {0}")]
+    Malformed(String),
     /// A block of its done tasks cannot be decoded.
     #[error("block {block} of its done tasks: {source}")]
     DoneBlock {
@@ -216,8 +219,12 @@
     job: &JobId,
     live_row_version: u64,
 ) -> Result<JobReadOutcome, KvError> {
-    let Some(entry) = kv.get(FAILOVER_CLASS, &job_record_key(job)).await? else {
-        return Ok(Err(UnusableJob::NoRecord));
+    let key = job_record_key(job);
+    let entry = match kv.get(FAILOVER_CLASS, &key).await {
+        Ok(Some(entry)) => entry,
+        Ok(None) => return Ok(Err(UnusableJob::NoRecord)),
+        Err(KvError::Malformed) => return Ok(Err(UnusableJob::Malformed(key))),
+        Err(error) => return Err(error),
     };
     Ok(decode_record(job, &entry.value).map(|record| {
         let block_versions = Vec::new();
@@ -233,7 +240,11 @@
 ) -> Result<JobReadOutcome, KvError> {
     let layout = job.record.layout(value_kb);
     for block in 0..job.record.block_count(value_kb) {
-        let stored = kv.get(FAILOVER_CLASS, &layout.block_key(&job.record.spec.id, block)).await?;
+        let key = layout.block_key(&job.record.spec.id, block);
+        let stored = match kv.get(FAILOVER_CLASS, &key).await {
+            Err(KvError::Malformed) => return Ok(Err(UnusableJob::Malformed(key))),
+            read => read?,
+        };
         job.block_versions.push(stored.as_ref().map_or(0, |entry| entry.version));
         if let Some(Err(source)) = stored.map(|entry| job.record.add_block(&entry.value)) {
             // It is unknown which of its tasks are done, and a done task must not start
--- a/src/coordination/recovery/snapshot.rs
+++ b/src/coordination/recovery/snapshot.rs
@@ -15,6 +15,7 @@
 use crate::coordination::recovery::unreadable::UnreadableRecords;
 use crate::protocol::cloud::{MachineType, decode_catalog};
 use crate::protocol::jobs::JobId;
+use crate::protocol::kv::Entry;
 use crate::storage::kv::{KvClient, KvError, RequestClass};
 use crate::storage::records::{
     ARCHIVED_ROWS, CATALOG, LEARNED_STATISTICS, LIVE_ROWS, LearnedStatistics, NODE_POOLS, NodePoolRecord,
@@ -164,12 +165,12 @@
     for entry in kv.scan(FAILOVER_CLASS, NODE_POOLS).await? {
         snapshot.add_node_pool(&entry.key, &entry.value, entry.version);
     }
-    if let Some(entry) = kv.get(FAILOVER_CLASS, CATALOG).await?
+    if let Some(entry) = get_unless_malformed(kv, CATALOG).await?
         && let Ok(types) = decode_catalog(&entry.value)
     {
         snapshot.catalog = Some((types, entry.version));
     }
-    if let Some(entry) = kv.get(FAILOVER_CLASS, LEARNED_STATISTICS).await? {
+    if let Some(entry) = get_unless_malformed(kv, LEARNED_STATISTICS).await? {
         // Statistics that cannot be decoded are replaced by the next write, which needs the
         // version of the key.
         let statistics = LearnedStatistics::decode(&entry.value).unwrap_or_default();
@@ -178,6 +179,14 @@
     Ok(())
 }
 
+/// Reads a key without which a leader can start; `None` if it does not exist or is malformed.
+async fn get_unless_malformed(kv: &KvClient, key: &str) -> Result<Option<Entry>, KvError> {
+    match kv.get(FAILOVER_CLASS, key).await {
+        Err(KvError::Malformed) => Ok(None),
+        read => read,
+    }
+}
+
 /// A job with a live row, and the version of that row's key.
 type LiveJob = (JobId, u64);
 
--- a/src/storage/kv.rs
+++ b/src/storage/kv.rs
@@ -37,6 +37,8 @@
 const WRITE_MARKER: &str = "by";
 /// Number of keys requested per page of a scan.
 const SCAN_PAGE_SIZE: usize = 500;
+/// Malformed responses in a row after which a repeated read ends.
+const MAX_MALFORMED_RESPONSES: u32 = 5;
 /// Bytes that a comparison takes in a transaction in addition to its key, rounded up.
 const COMPARE_OVERHEAD_BYTES: usize = 48;
 /// Bytes that a change takes in a transaction in addition to its key and value, rounded up.
@@ -84,9 +86,12 @@
     Fenced,
     /// A key has another version than the caller expected.
     Conflict,
-    /// The request was not carried out, or the response is missing or unusable. Only reads
-    /// return this error.
+    /// The request was not carried out, or there was no response, or a page that cannot be used.
+    /// Only reads return this error.
     Unavailable,
+    /// The response about a key cannot be decoded, or is about another key. Only reads return this
+    /// error; those that are repeated do so after several such responses in a row.
+    Malformed,
     /// The store rejects this request and would reject every retry.
     Rejected,
 }
@@ -123,7 +128,7 @@
 
 impl KvClient {
     /// Returns a client whose reads are repeated, after this pause, until there is a usable
-    /// response. The caller ends them by dropping the future.
+    /// response, or several in a row are malformed. The caller ends them by dropping the future.
     #[must_use]
     pub fn with_read_retries(&self, pause: Duration) -> Self {
         KvClient { read_retry_pause: Some(pause), ..self.clone() }
@@ -176,7 +181,7 @@
         let call = HttpCall { method: "GET", target, body: Vec::new(), timeout: self.deadline };
         match self.send_raw(class, call).await {
             Ok(response) if response.status == 200 => {
-                decode(&response.body).map(Some).map_err(|_| KvError::Unavailable)
+                decode(&response.body).map(Some).map_err(|_| KvError::Malformed)
             }
             Ok(response) if response.status == 404 => Ok(None),
             Ok(response) if response.status == 400 => Err(KvError::Rejected),
@@ -184,15 +189,24 @@
         }
     }
 
-    /// Runs a read, and repeats it while it is unavailable if this client repeats reads.
+    /// Runs a read, and repeats it while it is unavailable or malformed if this client repeats reads.
+    /// A response that is malformed again and again says that the record is, and ends the read.
     async fn retrying<T, R>(&self, read: impl Fn() -> R) -> Result<T, KvError>
     where
         R: Future<Output = Result<T, KvError>>,
     {
+        let mut malformed = 0;
         loop {
-            match (read().await, self.read_retry_pause) {
-                (Err(KvError::Unavailable), Some(pause)) => tokio::time::sleep(pause).await,
-                (result, _) => return result,
+            let result = read().await;
+            malformed = if matches!(result, Err(KvError::Malformed)) { malformed + 1 } else { 0 };
+            let is_final = match result {
+                Err(KvError::Unavailable) => false,
+                Err(KvError::Malformed) => malformed >= MAX_MALFORMED_RESPONSES,
+                _ => true,
+            };
+            match self.read_retry_pause.filter(|_| !is_final) {
+                Some(pause) => tokio::time::sleep(pause).await,
+                None => return result,
             }
         }
     }
@@ -202,15 +216,15 @@
     /// # Errors
     ///
     /// [`KvError::Rejected`] if the store rejects the request, [`KvError::Unavailable`] if
-    /// there was no usable response and this client does not repeat reads. A response about
-    /// another key is not usable.
+    /// there was no response and this client does not repeat reads, [`KvError::Malformed`] if the
+    /// response cannot be used.
     pub async fn get(&self, class: RequestClass, key: &str) -> Result<Option<Entry>, KvError> {
         self.retrying(|| self.get_once(class, key)).await
     }
 
     async fn get_once(&self, class: RequestClass, key: &str) -> Result<Option<Entry>, KvError> {
         let Some(value) = self.read(class, format!("/keys/{key}")).await? else { return Ok(None) };
-        decode_entry(&value).ok().filter(|entry| entry.key == key).map(Some).ok_or(KvError::Unavailable)
+        decode_entry(&value).ok().filter(|entry| entry.key == key).map(Some).ok_or(KvError::Malformed)
     }
 
     /// Reads one page of the keys with a prefix, in order: at most `most` keys after the key
@@ -240,7 +254,12 @@
     ) -> Result<Page, KvError> {
         let after = if from.is_empty() { String::new() } else { format!("&from={from}") };
         let target = format!("/keys?starts={prefix}{after}&page={most}");
-        let value = self.read(class, target).await?.ok_or(KvError::Unavailable)?;
+        let value = match self.read(class, target).await {
+            // A malformed page says nothing about any single key.
+            Err(KvError::Malformed) | Ok(None) => return Err(KvError::Unavailable),
+            Err(error) => return Err(error),
+            Ok(Some(value)) => value,
+        };
         let page = decode_page(&value).map_err(|_| KvError::Unavailable)?;
         let prefix_matches = page.entries.iter().all(|entry| entry.key.starts_with(prefix));
         let makes_progress = !page.more || !page.entries.is_empty();
