--- a/src/coordination/jobs/dependency_graph/tests/recomputation.rs
+++ b/src/coordination/jobs/dependency_graph/tests/recomputation.rs
@@ -268,7 +268,8 @@
             prop_assert!(graph.steps() - steps <= max_steps, "{operation:?}");
             let mut known = BTreeMap::new();
             for job in 0..JOBS {
-                prop_assert_eq!(graph.inherited(&name(job)), reference.inherited(job, &mut known), "job {}", job);
+                let inherited = reference.inherited(job, &mut known);
+                prop_assert_eq!(graph.inherited(&name(job)), inherited, "job {}", job);
                 let cancellation = reference.0.get(&job).map(|node| node.cancellation);
                 let cancellation = cancellation.unwrap_or(Cancellation::NotCancelled);
                 prop_assert_eq!(graph.cancellation(&name(job)), cancellation, "job {}", job);
--- a/src/storage/kv/capacity.rs
+++ b/src/storage/kv/capacity.rs
@@ -1,5 +1,5 @@
-//! How many requests the actor holds, and how many reads are started at once. The numbers grow with the store's request rate, and so with
-//! the fleet.
+//! How many requests the actor holds, and how many reads are started at once. The numbers grow with
+//! the store's request rate, and so with the fleet.
 
 use super::queue::Request;
 use crate::numeric::whole_usize;
