--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -10,7 +10,7 @@
 
 use std::fs::File;
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
@@ -57,8 +57,13 @@
     pub controllers: Vec<Controller>,
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+/// A free port on a loopback host that only this controller of this run uses, so that nothing takes
+/// the port before the controller does.
+fn free_address(index: usize) -> SocketAddr {
+    let byte = |number: usize| (number % 250 + 1) as u8;
+    let run = std::process::id() as usize;
+    let host = Ipv4Addr::new(127, byte(run / 250), byte(run), byte(index + 1));
+    let listener = TcpListener::bind((host, 0)).expect("a free port");
     listener.local_addr().expect("bound")
 }
 
@@ -66,7 +71,7 @@
     /// Starts the controllers.
     pub fn start(&mut self, setup: &Setup, program: &str, folder: &str) -> std::io::Result<()> {
         let addresses: Vec<(SocketAddr, SocketAddr)> =
-            (0..setup.controllers).map(|_| (free_address(), free_address())).collect();
+            (0..setup.controllers).map(|index| (free_address(index), free_address(index))).collect();
         for (index, (serve_on, internal)) in addresses.iter().enumerate() {
             let known: String = addresses
                 .iter()
