--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -15,6 +15,7 @@
         "parts" => parts(trouble, record, program, folder),
         "limits" => limits(trouble, record, program, folder),
         "refused" => refused(trouble, record, program, folder),
+        "asked" => asked(trouble, record, program, folder),
         "tiny" => tiny(trouble, record, program, folder),
         _ => Verdict::NotRun,
     }
@@ -369,3 +370,35 @@
     }
     Verdict::Broken
 }
+
+/// Users ask about a job 50 ms before it is submitted, while the state service answers reads slowly.
+fn asked(trouble: bool, record: Record, program: &str, folder: &str) -> Verdict {
+    let kecil = Build { name: "kecil-16", cores: 16.0, price: 1.38, halls: vec!["a"], boot: Duration::from_secs(3), fetch: 1.0 };
+    let mut world = world(trouble, &record, vec![kecil]);
+    world.cloud.add_machine("kecil-16", "a", &[]);
+    let setup = Setup { controllers: 3, tables: TEAM.to_owned(), state: String::new(), zones: "\"a\"" };
+    if world.start(&setup, program, folder).is_err() || !world.wait_until_ready() {
+        return Verdict::NotRun;
+    }
+    sleep(3.0);
+    if world.trouble {
+        record.note("TROUBLE: reads of records are answered 200 ms late");
+        world.state.slow_reads(Duration::from_millis(200));
+    }
+    let leader = world.leader();
+    let mut found = 0;
+    for number in 1..=10 {
+        let job = Job { id: format!("job-{number:06}").leak(), ..Job::service("link-portal", 0.5, "img-portal") };
+        let target = format!("/api/jobs/{}", job.id);
+        std::thread::scope(|scope| {
+            let poll = scope.spawn(|| (world.ask(leader, "GET", &target, None).0, record.seconds()));
+            sleep(0.05);
+            let (accepted, _) = world.ask(leader, "POST", "/api/jobs", Some(&job.body()));
+            let told_at = record.seconds();
+            let (polled, answered_at) = poll.join().unwrap_or((0, 0.0));
+            found += u32::from(accepted == 201 && polled == 404 && answered_at > told_at);
+        });
+    }
+    record.note(&format!("{found} of 10 jobs got 404 after 201, from the same controller"));
+    if found > 0 { Verdict::Broken } else { Verdict::Held }
+}
--- a/review/standins-2/platform.rs
+++ b/review/standins-2/platform.rs
@@ -30,6 +30,8 @@
     last_permit: u64,
     /// Greatest size of a value in bytes.
     value_bytes: usize,
+    /// How long the answers to reads of records take, beyond the usual.
+    slow_reads: Duration,
     /// The next transaction that writes this key is carried out and not answered; then values of this
     /// many bytes at most are taken.
     lost_answer: Option<(String, usize)>,
@@ -149,6 +151,11 @@
         self.lock().value_bytes = (value_kb * 1024.0) as usize;
     }
 
+    /// Answers to reads of records leave this much later from now on.
+    pub fn slow_reads(&self, by: Duration) {
+        self.lock().slow_reads = by;
+    }
+
     /// The next transaction that writes this key is carried out, but not answered; from then on a larger
     /// value gets 400.
     pub fn lose_answer_and_lower(&self, key: &str, value_kb: f64) {
@@ -200,6 +207,9 @@
         } else {
             (400, map(vec![]))
         };
+        let slow = if target.starts_with("/keys/rec/") { locked.slow_reads } else { Duration::ZERO };
+        drop(locked);
+        thread::sleep(slow);
         Some(answer)
     }
 
