Request a machine for each waiting task that no machine can take

What callers saw: an accepted job stays `queued` for good. No machine is requested.

The fleet is sized by a demand in one unit for each group, claimed from fractions of machines. That estimate was taken for a proof that a waiting task can start.

Change: after the requests for the estimate, each task that has waited for two heartbeat intervals has to have a machine with room, one that boots or was requested, or one whose tasks end soon. If none exists, the cheapest offer that holds it is requested, and the machines that waiting tasks rely on count as needed. This works whatever the estimate rounds, sums or leaves out, since it compares a task with single machines, in every resource and with the zones of its job. An offer of an unknown type no longer ends the choice among the others.

--- a/src/coordination/fleet/autoscaler.rs
+++ b/src/coordination/fleet/autoscaler.rs
@@ -15,6 +15,8 @@
     pub(crate) backoffs: OfferBackoffs,
     /// The rate at which spot machines are lost.
     pub(crate) spot_losses: SpotLosses,
+    /// Where the next check of waiting tasks continues, counted in different requirements.
+    pub(crate) next_checked_shape: usize,
     /// When the learned statistics were last stored for the next leader.
     pub(crate) statistics_saved_at: Instant,
 }
@@ -26,6 +28,7 @@
             demand: DemandTable::default(),
             backoffs: OfferBackoffs::default(),
             spot_losses: SpotLosses::default(),
+            next_checked_shape: 0,
             statistics_saved_at: now,
         }
     }
--- a/src/coordination/fleet/autoscaling.rs
+++ b/src/coordination/fleet/autoscaling.rs
@@ -34,7 +34,8 @@
         self.measure_demand(now);
         self.save_due_statistics(now);
         self.liveness.record(now, &self.config, &self.machines);
-        let needed = self.scale_out(now);
+        let mut needed = self.scale_out(now);
+        needed.extend(self.provision_for_unschedulable(now));
         self.record_needed_machines(now, &needed);
         self.run_descheduler(now);
         self.scale_in(now);
--- a/src/coordination/fleet/instance_offers.rs
+++ b/src/coordination/fleet/instance_offers.rs
@@ -5,6 +5,7 @@
 use tokio::time::Instant;
 
 use crate::coordination::fleet::catalog::MachineTypeId;
+use crate::coordination::fleet::machine::Machine;
 use crate::maps::HashMap;
 
 /// What the cloud provisions: a machine type in a zone, as spot or on-demand machines.
@@ -18,6 +19,13 @@
     pub(crate) spot: bool,
 }
 
+impl InstanceOffer {
+    /// The offer that a machine was provisioned from.
+    pub(crate) fn of(machine: &Machine) -> Self {
+        InstanceOffer { machine_type: machine.machine_type, zone: machine.zone.clone(), spot: machine.spot }
+    }
+}
+
 /// The backoff of one offer.
 #[derive(Debug, Clone, Copy)]
 struct Backoff {
--- a/src/coordination/fleet/mod.rs
+++ b/src/coordination/fleet/mod.rs
@@ -22,3 +22,5 @@
 pub mod scale_out;
 pub mod spot_losses;
 pub mod unregistered;
+pub mod unschedulable;
+mod zone_limits;
--- a/src/coordination/fleet/offer_selection.rs
+++ b/src/coordination/fleet/offer_selection.rs
@@ -3,20 +3,26 @@
 use tokio::time::Instant;
 
 use crate::coordination::fleet::catalog::MachineTypeId;
+use crate::coordination::fleet::demand::DemandGroup;
 use crate::coordination::fleet::instance_offers::InstanceOffer;
-use crate::coordination::fleet::scale_out::{ScaleOutRequest, UnmetNeed};
+use crate::coordination::fleet::scale_out::ScaleOutRequest;
 use crate::coordination::leader::Leader;
-use crate::numeric::whole_u32;
 use crate::protocol::cloud::{MachineType, NodePoolRequest};
 
-/// The fraction of a machine that may be missing without another machine being requested.
-const TOLERATED_SHORTFALL: f64 = 0.05;
 /// A candidate is clearly cheaper than another one if the ratio of their costs is below this.
 const CLEARLY_CHEAPER_RATIO: f64 = 0.99;
 /// A candidate that is not clearly cheaper than another one costs about the same if the ratio of
 /// their costs is below this.
 const EQUALLY_EXPENSIVE_RATIO: f64 = 1.01;
 
+/// A need for which machines are to be requested.
+pub(super) struct OfferNeed<'a> {
+    /// The group of jobs that has the need.
+    pub(super) group: &'a DemandGroup,
+    /// The number of machines of an offer that cover the need; 0 if the offer does not help.
+    pub(super) machines_needed: &'a dyn Fn(&InstanceOffer) -> u32,
+}
+
 /// A possible request to cover a need.
 struct Candidate {
     /// The weighted price of all machines that are needed.
@@ -38,27 +44,18 @@
 }
 
 impl Leader {
-    /// Returns the cheapest request that covers `units`, in addition to the requests in `chosen`.
+    /// Returns the cheapest request that covers the need, in addition to the requests in `chosen`.
     /// Among requests of about the same cost it prefers the zone with the fewest machines.
     pub(super) fn choose_offer(
         &self,
         now: Instant,
-        need: &UnmetNeed<'_>,
-        units: f64,
+        need: &OfferNeed<'_>,
         chosen: &[ScaleOutRequest],
     ) -> Option<ScaleOutRequest> {
         let max_count = self.max_machines_per_pool(None);
         let mut best: Option<Candidate> = None;
         for &id in &need.group.machine_types {
-            let machine_type = self.catalog.get(id)?;
-            let units_per_machine = self.units_per_machine(id, need);
-            if units_per_machine <= 0.0 {
-                continue;
-            }
-            let count = whole_u32((units / units_per_machine - TOLERATED_SHORTFALL).ceil().max(0.0));
-            if count == 0 {
-                continue;
-            }
+            let Some(machine_type) = self.catalog.get(id) else { continue };
             for zone in &machine_type.zones {
                 let machines_in_zone = self.machines_in_zone(zone, chosen);
                 for spot in [true, false] {
@@ -66,6 +63,10 @@
                     if !need.group.allows(&offer) || self.is_unavailable(now, &offer, chosen) {
                         continue;
                     }
+                    let count = (need.machines_needed)(&offer);
+                    if count == 0 {
+                        continue;
+                    }
                     let cost = f64::from(count) * self.weighted_price(machine_type, spot);
                     let request = ScaleOutRequest { offer, count: count.min(max_count) };
                     let candidate = Candidate { cost, machines_in_zone, request };
--- a/src/coordination/fleet/provisioning.rs
+++ b/src/coordination/fleet/provisioning.rs
@@ -42,6 +42,12 @@
         self.commit(PendingOperation::WriteNodePool(name.to_owned()), class, compares, vec![change]);
     }
 
+    /// The offer that a pool's machines are requested from.
+    pub(super) fn offer_of(&self, request: &NodePoolRequest) -> InstanceOffer {
+        let machine_type = self.catalog.id_of(&request.machine_type);
+        InstanceOffer { machine_type, zone: request.zone.clone(), spot: request.spot }
+    }
+
     /// Creates a node pool. Its machines are requested from the cloud once its record is written.
     pub(crate) fn create_node_pool(&mut self, now: Instant, request: ScaleOutRequest) {
         let ScaleOutRequest { offer: InstanceOffer { machine_type, zone, spot }, count } = request;
@@ -134,8 +140,7 @@
             // machines that the first request obtained.
             _ => return,
         };
-        let machine_type = self.catalog.id_of(&request.machine_type);
-        let offer = InstanceOffer { machine_type, zone: request.zone.clone(), spot: request.spot };
+        let offer = self.offer_of(&request);
         self.write_node_pool(name);
         self.register_pool_machines(now, name);
         if is_short {
--- a/src/coordination/fleet/scale_out.rs
+++ b/src/coordination/fleet/scale_out.rs
@@ -9,6 +9,7 @@
 use crate::coordination::fleet::demand::{Demand, DemandGroup};
 use crate::coordination::fleet::instance_offers::InstanceOffer;
 use crate::coordination::fleet::machine::{Machine, Phase};
+use crate::coordination::fleet::offer_selection::OfferNeed;
 use crate::coordination::leader::Leader;
 use crate::maps::HashSet;
 use crate::numeric::{count_u32, whole_u32};
@@ -42,17 +43,19 @@
 }
 
 /// The need of a group that is not covered yet, in units (CPUs or GPUs).
-pub(super) struct UnmetNeed<'a> {
+struct UnmetNeed<'a> {
     /// The group.
-    pub(super) group: &'a DemandGroup,
+    group: &'a DemandGroup,
     /// The group's demand as measured.
-    pub(super) demand: &'a Demand,
+    demand: &'a Demand,
     /// Units that no machine covers yet; zero or less once all are covered.
-    pub(super) units: f64,
+    units: f64,
     /// Units that on-demand machines cover and that spot machines might cover instead.
-    pub(super) on_demand_units: f64,
+    on_demand_units: f64,
 }
 
+/// The fraction of a machine that may be missing without another machine being requested.
+const TOLERATED_SHORTFALL: f64 = 0.05;
 /// A machine counts as needed if a group claims more than this fraction of it.
 const MIN_NEEDED_FRACTION: f64 = 0.2;
 /// Up to this number of machines is a minority, however small the total.
@@ -103,12 +106,12 @@
         needed
     }
 
-    /// The machines that exist and may be relied on, the cheapest first.
+    /// The machines that exist and may be relied on, in no particular order.
     ///
     /// A machine that the leader's replies do not reach (a one-way partition) does no work. It is
     /// excluded, and scaled in once it is empty, unless most machines are affected: then the fault
     /// is more likely on the leader's side.
-    fn existing_machines(&self, now: Instant) -> Vec<ExistingMachine> {
+    pub(super) fn reliable_machines(&self, now: Instant) -> Vec<&Machine> {
         let detector = self.liveness.detector(now, &self.config, &self.machines);
         let partitioned = self.machines.values().filter(|machine| machine.worker.one_way_partitioned).count();
         let excludes_partitioned = is_minority(partitioned, self.machines.len());
@@ -118,8 +121,13 @@
             let is_excluded = machine.worker.one_way_partitioned && excludes_partitioned;
             is_up_or_booting && is_healthy && !detector.is_suspected(machine) && !is_excluded
         };
+        self.machines.values().filter(is_usable).collect()
+    }
+
+    /// The machines that may be relied on, the cheapest first.
+    fn existing_machines(&self, now: Instant) -> Vec<ExistingMachine> {
         let mut existing: Vec<ExistingMachine> =
-            self.machines.values().filter(is_usable).map(ExistingMachine::of).collect();
+            self.reliable_machines(now).into_iter().map(ExistingMachine::of).collect();
         // At the same price, machines with the most tasks come first, so that the others become
         // empty. Prices are not negative, so their bit patterns are in the same order.
         existing.sort_by_cached_key(|existing| {
@@ -138,9 +146,7 @@
             .filter(|pool| pool.is_pending())
             .map(|pool| {
                 let request = &pool.record.request;
-                let machine_type = self.catalog.id_of(&request.machine_type);
-                let offer = InstanceOffer { machine_type, zone: request.zone.clone(), spot: request.spot };
-                Supply { offer, unclaimed: f64::from(request.machine_count) }
+                Supply { offer: self.offer_of(request), unclaimed: f64::from(request.machine_count) }
             })
             .collect()
     }
@@ -217,7 +223,9 @@
             let max_requests = whole_u32(self.config.settings.cluster.cloud.rps.max(1.0));
             let request_count = count_u32(requests.len());
             for _ in 0..max_requests.saturating_sub(request_count).max(1) {
-                let Some(request) = self.choose_offer(now, &need, need.units, requests) else { break };
+                let Some(request) = self.choose_offer_for_units(now, &need, need.units, requests) else {
+                    break;
+                };
                 let units_per_machine = self.units_per_machine(request.offer.machine_type, &need);
                 need.units -= f64::from(request.count) * units_per_machine;
                 requests.push(request);
@@ -225,13 +233,33 @@
         } else if need.group.spot && need.units + need.on_demand_units > 0.0 {
             // On-demand machines run work that spot machines could run. Spot machines are requested
             // if available; the on-demand machines then become empty and are scaled in.
-            let request = self.choose_offer(now, &need, need.units + need.on_demand_units, requests);
+            let units = need.units + need.on_demand_units;
+            let request = self.choose_offer_for_units(now, &need, units, requests);
             requests.extend(request.filter(|request| request.offer.spot));
         }
     }
 
+    /// Returns the cheapest request that covers `units` of a group's need, apart from a shortfall
+    /// that is tolerated, in addition to the requests in `chosen`.
+    fn choose_offer_for_units(
+        &self,
+        now: Instant,
+        need: &UnmetNeed<'_>,
+        units: f64,
+        chosen: &[ScaleOutRequest],
+    ) -> Option<ScaleOutRequest> {
+        let machines_needed = |offer: &InstanceOffer| {
+            let units_per_machine = self.units_per_machine(offer.machine_type, need);
+            if units_per_machine <= 0.0 {
+                return 0;
+            }
+            whole_u32((units / units_per_machine - TOLERATED_SHORTFALL).ceil().max(0.0))
+        };
+        self.choose_offer(now, &OfferNeed { group: need.group, machines_needed: &machines_needed }, chosen)
+    }
+
     /// The units of a group's work that fit on a machine of the type; none if the type is unknown.
-    pub(super) fn units_per_machine(&self, id: MachineTypeId, need: &UnmetNeed<'_>) -> f64 {
+    fn units_per_machine(&self, id: MachineTypeId, need: &UnmetNeed<'_>) -> f64 {
         self.catalog.get(id).map_or(0.0, |machine_type| need.demand.units_on(machine_type, need.group.gpus))
     }
 }
@@ -239,11 +267,7 @@
 impl ExistingMachine {
     /// Creates the supply of a machine of which no group has claimed any part yet.
     fn of(machine: &Machine) -> Self {
-        let offer = InstanceOffer {
-            machine_type: machine.machine_type,
-            zone: machine.zone.clone(),
-            spot: machine.spot,
-        };
-        ExistingMachine { id: machine.id.clone(), supply: Supply { offer, unclaimed: 1.0 } }
+        let supply = Supply { offer: InstanceOffer::of(machine), unclaimed: 1.0 };
+        ExistingMachine { id: machine.id.clone(), supply }
     }
 }
--- a/src/coordination/jobs/job.rs
+++ b/src/coordination/jobs/job.rs
@@ -175,6 +175,13 @@
         self.spec().task_count - self.record.done.len()
     }
 
+    /// Whether its tasks have failed on several machines and one is on a machine now: during the
+    /// backoff only one task runs at a time.
+    pub fn must_back_off(&self, now: Instant) -> bool {
+        let backs_off = self.failures.backoff_until.is_some_and(|until| now < until);
+        backs_off && !self.tasks.assigned.is_empty()
+    }
+
     /// The next task at or above `first` that is neither done nor assigned.
     pub fn next_pending(&mut self, first: u32) -> Option<u32> {
         self.tasks.next_pending(&self.record, first)
--- a/src/coordination/jobs/resources.rs
+++ b/src/coordination/jobs/resources.rs
@@ -52,6 +52,13 @@
         whole_u32(least.min(f64::from(u32::MAX)))
     }
 
+    /// The amounts that `count` times these amounts take together.
+    #[must_use]
+    pub fn times(&self, count: u32) -> Resources {
+        let count = f64::from(count);
+        Resources { cpus: self.cpus * count, gpus: self.gpus * count, memory_gb: self.memory_gb * count }
+    }
+
     /// Adds another's amounts.
     pub fn add(&mut self, other: &Resources) {
         self.cpus += other.cpus;
--- a/src/coordination/scheduling/queue.rs
+++ b/src/coordination/scheduling/queue.rs
@@ -168,6 +168,11 @@
         self.reservations.get(job)
     }
 
+    /// All reservations: the starved job and the machine reserved for it.
+    pub(crate) fn reservations(&self) -> impl Iterator<Item = (&JobId, &MachineId)> {
+        self.reservations.iter()
+    }
+
     /// Reserves a machine for a starved job, replacing any earlier reservation of the job.
     pub(crate) fn reserve(&mut self, job: JobId, machine: MachineId) {
         self.reservations.insert(job, machine);
--- a/src/coordination/scheduling/start_decision.rs
+++ b/src/coordination/scheduling/start_decision.rs
@@ -20,7 +20,7 @@
         let failover_complete = self.failover.is_complete();
         let Some(job) = self.jobs.get_mut(&queued.job) else { return false };
         if job.pending() == 0
-            || must_back_off(now, job)
+            || job.must_back_off(now)
             || must_await_orphan_tasks(now, job, &self.machines)
             || must_await_failover(job, failover_complete)
         {
@@ -106,13 +106,6 @@
     if failover_complete { 0 } else { job.tasks.unreconciled_below }
 }
 
-/// Whether the job is backed off after failures on several machines, and already has a task on a
-/// machine: during the backoff only one task runs at a time.
-fn must_back_off(now: Instant, job: &Job) -> bool {
-    let backs_off = job.failures.backoff_until.is_some_and(|until| now < until);
-    backs_off && !job.tasks.assigned.is_empty()
-}
-
 /// Whether machines may still hold orphan tasks of a job that was restored after the failover,
 /// because it was believed terminal or its record was unreadable. None of its tasks is started
 /// until `not_before`, when every machine has sent a heartbeat or its lease has expired, and until
--- a/src/coordination/tests/mod.rs
+++ b/src/coordination/tests/mod.rs
@@ -3,6 +3,7 @@
 //! simulated time ([`simulation`]).
 
 mod answers_after_faults;
+mod calm_cluster;
 mod cancellation;
 mod decision_trace;
 mod dependencies;
@@ -21,6 +22,7 @@
 mod scale_out;
 mod simulation;
 mod unreadable;
+mod unschedulable;
 
 use std::sync::Arc;
 use std::time::Duration;
