Settle jobs whose description exceeds limits that have fallen

Cause: a record holds the description, which never changes, in one value with the progress, and had no smaller form for a description that alone exceeds the limit. The write was repeated every half minute in a size that is never accepted. Evidence: the log names the job with "job record rejected in every size; retried later"; each of the three new tests fails without the new forms.

Change: once the store has rejected the record of a live job and its description alone is too large, its progress is written under `prog/ID`; a new leader reads these keys beside the live rows. A rejected terminal record is written in a reduced form, whose size does not depend on what was submitted. Why it works: every write that users or starts wait for now has a form that fits any limit above a KiB, whoever admitted the job.

The scans wait together now.

--- a/src/coordination/controller/tests.rs
+++ b/src/coordination/controller/tests.rs
@@ -383,7 +383,13 @@
 fn lead_with_terminal_write_in_flight(controller: &mut Controller, spec: &JobSpec, completes: bool) {
     let now = Instant::now();
     let record = JobRecord { started_high_water: 1, ..JobRecord::new(spec.clone(), 0) };
-    let job = JobSnapshot { record, record_version: 5, live_row_version: 5, block_versions: Vec::new() };
+    let job = JobSnapshot {
+        record,
+        record_version: 5,
+        progress_version: None,
+        live_row_version: 5,
+        block_versions: Vec::new(),
+    };
     let snapshot = Snapshot { jobs: vec![job], ..Snapshot::default() };
     let mut leader = Leader::new(controller.config.clone(), 40, now, 0, snapshot);
     leader.extend_lease(now, now + Duration::from_secs(60));
--- a/src/coordination/jobs/record_state.rs
+++ b/src/coordination/jobs/record_state.rs
@@ -30,8 +30,8 @@
         /// The numbers of the blocks.
         blocks: Vec<u32>,
     },
-    /// The record without its done tasks.
-    WithoutDoneTasks,
+    /// The terminal record in its reduced form.
+    Reduced,
     /// Further blocks of a conversion; the record does not name them yet.
     NewBlocks {
         /// The number of blocks.
@@ -104,8 +104,11 @@
     pub write_in_flight: Option<RecordWriteInFlight>,
     /// The conversion in progress, if its done tasks are being copied into smaller blocks.
     pub conversion: Option<BlockConversion>,
+    /// The version of the key that holds the job's progress, 0 before its first write; `None` while
+    /// the record holds the progress.
+    pub progress_version: Option<u64>,
     /// The store rejected the job's terminal record for its size: a terminal record of the job
-    /// is written without done tasks from now on.
+    /// is written in its reduced form from now on.
     pub is_too_large: bool,
     /// The store rejected the record in every size; it is not written until its next retry.
     pub is_rejected: bool,
@@ -126,6 +129,7 @@
             dirty_since: None,
             write_in_flight: None,
             conversion: None,
+            progress_version: None,
             is_too_large: false,
             is_rejected: false,
             row: RowState::Live,
@@ -136,7 +140,10 @@
     /// conversion if the write has ended it by naming its blocks.
     #[must_use]
     pub fn apply_commit(&mut self, write: RecordWriteInFlight, version: u64) -> Option<BlockConversion> {
-        self.version = version;
+        match &mut self.progress_version {
+            Some(progress_version) if !write.is_terminal() => *progress_version = version,
+            _ => self.version = version,
+        }
         self.done = write.done;
         self.started_high_water = write.started_high_water;
         match write.scope {
@@ -149,7 +156,7 @@
                 None
             }
             WriteScope::SwitchLayout => self.conversion.take(),
-            WriteScope::WithoutDoneTasks | WriteScope::NewBlocks { .. } => None,
+            WriteScope::Reduced | WriteScope::NewBlocks { .. } => None,
         }
     }
 
--- a/src/coordination/jobs/record_write.rs
+++ b/src/coordination/jobs/record_write.rs
@@ -4,6 +4,9 @@
 //! take effect later. The job's done tasks are then copied into smaller blocks under new keys,
 //! in as many transactions as needed. One last transaction makes the record name the new
 //! blocks: the old blocks are valid until it is committed, and the new ones from then on.
+//!
+//! If the description alone is too large, the job's progress is written under a key of its own
+//! while the job is live. A terminal record that the store rejects is written in its reduced form.
 
 use ciborium::value::Value;
 
@@ -14,7 +17,7 @@
 use crate::settings::KvSettings;
 use crate::storage::done_set::DoneSet;
 use crate::storage::kv::RequestClass;
-use crate::storage::records::{JobRecord, Layout, job_record_key};
+use crate::storage::records::{JobRecord, Layout, job_progress_key, job_record_key};
 
 /// A write of a job's record that is to be committed.
 pub(crate) struct RecordWrite {
@@ -39,11 +42,11 @@
         let record = target_record(job, now_ms);
         let is_terminal = record.terminal_state().is_some();
         let conversion = job.stored.conversion.take();
+        let is_reduced = job.stored.is_too_large || job.stored.progress_version.is_some();
         let write = match &conversion {
-            Some(_) if is_terminal => RecordWrite::without_done_tasks(job, &record),
-            Some(conversion) => RecordWrite::block_conversion(job, conversion, record, kv),
-            None if is_terminal && job.stored.is_too_large => RecordWrite::without_done_tasks(job, &record),
-            None => RecordWrite::with_blocks(job, &record, kv),
+            Some(conversion) if !is_terminal => RecordWrite::block_conversion(job, conversion, record, kv),
+            None if !is_terminal || !is_reduced => RecordWrite::with_blocks(job, &record, kv),
+            _ => RecordWrite::reduced(job, &record),
         };
         job.stored.conversion = conversion.filter(|_| !is_terminal);
         write
@@ -57,8 +60,8 @@
         let max_blocks = kv.strictest().txn_ops.saturating_sub(1).max(1);
         let blocks: Vec<u32> = job.stored.dirty_blocks.iter().copied().take(max_blocks).collect();
         job.stored.dirty_blocks.retain(|block| !blocks.contains(block));
-        let mut compares = vec![record_compare(job)];
-        let mut changes = vec![put(job_record_key(&id), record.encode(value_kb))];
+        let mut compares = stored_compares(job);
+        let mut changes = vec![put_progress(job, record, value_kb)];
         for &block in &blocks {
             let key = layout.block_key(&id, block);
             let version = job.stored.block_versions.get(block as usize).copied().unwrap_or(0);
@@ -71,13 +74,16 @@
         RecordWrite { class, compares, changes, in_flight }
     }
 
-    /// A terminal record without its done tasks, which are no longer needed.
-    fn without_done_tasks(job: &Job, record: &JobRecord) -> RecordWrite {
-        let changes = vec![put(job_record_key(&record.spec.id), record.encode_without_done_tasks())];
-        let done = record.done.clone();
-        let in_flight = RecordWriteInFlight::new(record, done, WriteScope::WithoutDoneTasks);
+    /// A terminal record in its reduced form. Progress that is kept apart is deleted with it.
+    fn reduced(job: &Job, record: &JobRecord) -> RecordWrite {
+        let id = &record.spec.id;
+        let mut changes = vec![put(job_record_key(id), record.encode_reduced())];
+        if job.stored.progress_version.is_some_and(|version| version > 0) {
+            changes.push(Change::Delete { key: job_progress_key(id) });
+        }
+        let in_flight = RecordWriteInFlight::new(record, record.done.clone(), WriteScope::Reduced);
         let class = RequestClass::Cancellation;
-        RecordWrite { class, compares: vec![record_compare(job)], changes, in_flight }
+        RecordWrite { class, compares: stored_compares(job), changes, in_flight }
     }
 
     /// The next blocks of a conversion, or the record that names them once all are written.
@@ -97,8 +103,7 @@
         let max_blocks = count_u32(kv.strictest().txn_ops);
         let end = layout.blocks(record.spec.task_count).min(first.saturating_add(max_blocks));
         let (scope, changes) = if first == end {
-            let change = put(job_record_key(&id), record.encode(kv.value_kb));
-            (WriteScope::SwitchLayout, vec![change])
+            (WriteScope::SwitchLayout, vec![put_progress(job, &record, kv.value_kb)])
         } else {
             let put_block =
                 |block| put(layout.block_key(&id, block), record.encode_block(block, kv.value_kb));
@@ -106,7 +111,7 @@
         };
         let in_flight = RecordWriteInFlight::new(&record, conversion.done.clone(), scope);
         let class = RequestClass::Progress;
-        RecordWrite { class, compares: vec![record_compare(job)], changes, in_flight }
+        RecordWrite { class, compares: stored_compares(job), changes, in_flight }
     }
 }
 
@@ -121,8 +126,21 @@
     JobRecord { cancelled, completed, ..job.record.clone() }
 }
 
-fn record_compare(job: &Job) -> Compare {
-    Compare { key: job_record_key(job.id()), version: job.stored.version }
+/// Writes what has changed in the record: the record, or the progress if it is kept apart.
+fn put_progress(job: &Job, record: &JobRecord, value_kb: f64) -> Change {
+    match job.stored.progress_version {
+        Some(_) => put(job_progress_key(job.id()), record.encode_progress(value_kb)),
+        None => put(job_record_key(job.id()), record.encode(value_kb)),
+    }
+}
+
+/// The versions of the record, and of the progress if it is kept apart, on which a write is
+/// conditional.
+fn stored_compares(job: &Job) -> Vec<Compare> {
+    let record = Compare { key: job_record_key(job.id()), version: job.stored.version };
+    let progress =
+        job.stored.progress_version.map(|version| Compare { key: job_progress_key(job.id()), version });
+    std::iter::once(record).chain(progress).collect()
 }
 
 fn class_of(job: &Job, record: &JobRecord) -> RequestClass {
--- a/src/coordination/jobs/record_writes.rs
+++ b/src/coordination/jobs/record_writes.rs
@@ -3,12 +3,14 @@
 
 use tokio::time::Instant;
 
+use crate::coordination::jobs::job::Job;
 use crate::coordination::jobs::record_state::{BlockConversion, RecordWriteInFlight, WriteScope};
 use crate::coordination::jobs::record_write::RecordWrite;
 use crate::coordination::jobs::write_queue::DirtyJob;
 use crate::coordination::leader::Leader;
 use crate::coordination::leader::effects::PendingOperation;
 use crate::protocol::jobs::{JobId, JobState};
+use crate::settings::KvSettings;
 use crate::storage::kv::KvError;
 use crate::storage::records::block_size;
 
@@ -207,28 +209,44 @@
     /// size: writes the record in a smaller form, or schedules a retry if there is none. Writes
     /// of other records are not delayed.
     fn handle_record_rejected(&mut self, now: Instant, job_id: &JobId, write: &RecordWriteInFlight) {
-        let kv = &self.config.settings.cluster.kv;
-        let (value_kb, allowed_block_tasks) = (kv.value_kb, block_size(kv.strictest().value_kb));
         let Some(job) = self.jobs.get_mut(job_id) else { return };
         if let WriteScope::Record { blocks } = &write.scope {
             job.stored.dirty_blocks.extend(blocks);
         }
-        if write.is_terminal() && !matches!(write.scope, WriteScope::WithoutDoneTasks) {
+        let kv = &self.config.settings.cluster.kv;
+        let has_smaller_form = if write.is_terminal() {
             job.stored.is_too_large = true;
+            !matches!(write.scope, WriteScope::Reduced)
+        } else {
+            make_progress_smaller(job, kv)
+        };
+        if has_smaller_form {
             return self.write_record(now, job_id);
         }
-        let layout_block_tasks = job.record.layout(value_kb).block_tasks().unwrap_or(job.spec().task_count);
-        let current_block_tasks =
-            job.stored.conversion.take().map_or(layout_block_tasks, |conversion| conversion.block_tasks);
-        let new_block_tasks = allowed_block_tasks.min(current_block_tasks / 2);
-        if write.is_terminal() || new_block_tasks < MIN_BLOCK_TASKS {
-            tracing::error!(job = %job_id, "job record rejected in every size; retried later");
-            job.stored.is_rejected = true;
-            self.record_writes.push_rejected(now, job_id.clone());
-            return;
-        }
-        tracing::info!(job = %job_id, tasks = new_block_tasks, "job record too large; done tasks move to blocks");
-        job.stored.conversion = Some(BlockConversion::new(new_block_tasks, job.record.done.clone()));
-        self.write_record(now, job_id);
+        tracing::error!(job = %job_id, "job record rejected in every size; retried later");
+        job.stored.is_rejected = true;
+        self.record_writes.push_rejected(now, job_id.clone());
+    }
+}
+
+/// Makes what is written of a live job smaller after a rejection: the progress is kept apart from a
+/// description that is too large, or the done tasks move to smaller blocks. Returns whether that is
+/// possible.
+fn make_progress_smaller(job: &mut Job, kv: &KvSettings) -> bool {
+    let is_apart = job.stored.progress_version.is_some();
+    if !is_apart && job.record.description_exceeds(kv.strictest().value_bytes()) {
+        tracing::info!(job = %job.id(), "job record too large; its progress is kept apart");
+        job.stored.progress_version = Some(0);
+        return true;
+    }
+    let layout_block_tasks = job.record.layout(kv.value_kb).block_tasks().unwrap_or(job.spec().task_count);
+    let current_block_tasks =
+        job.stored.conversion.take().map_or(layout_block_tasks, |conversion| conversion.block_tasks);
+    let new_block_tasks = block_size(kv.strictest().value_kb).min(current_block_tasks / 2);
+    if new_block_tasks < MIN_BLOCK_TASKS {
+        return false;
     }
+    tracing::info!(job = %job.id(), tasks = new_block_tasks, "job record too large; done tasks move to blocks");
+    job.stored.conversion = Some(BlockConversion::new(new_block_tasks, job.record.done.clone()));
+    true
 }
--- a/src/coordination/recovery/failover.rs
+++ b/src/coordination/recovery/failover.rs
@@ -137,11 +137,13 @@
     /// Adds one job. Its tasks below the started high-water mark may still run on a machine, so
     /// they wait until every machine is reconciled.
     fn restore_job(&mut self, now: Instant, now_ms: u64, snapshot: JobSnapshot) {
-        let JobSnapshot { record, record_version, live_row_version, block_versions } = snapshot;
+        let JobSnapshot { record, record_version, progress_version, live_row_version, block_versions } =
+            snapshot;
         let age = Duration::from_millis(now_ms.saturating_sub(record.submitted_ms));
         let submitted = now.checked_sub(age).unwrap_or(now);
         let mut job = Job::new(record, record_version, live_row_version, submitted, 0);
         job.stored.block_versions = block_versions;
+        job.stored.progress_version = progress_version;
         job.tasks.unreconciled_below = job.stored.started_high_water;
         job.cancellation.committed_at = job.record.cancelled.then_some(now);
         job.team = self.quotas.find(&job.spec().team);
--- a/src/coordination/recovery/job_reads.rs
+++ b/src/coordination/recovery/job_reads.rs
@@ -7,8 +7,9 @@
 use crate::coordination::recovery::snapshot_progress::{SnapshotObserver, SnapshotProgress};
 use crate::maps::HashSet;
 use crate::protocol::jobs::{JobId, JobState};
+use crate::protocol::kv::Entry;
 use crate::storage::kv::{KvClient, KvError, RequestClass};
-use crate::storage::records::{JobRecord, RecordError, job_record_key};
+use crate::storage::records::{JobRecord, RecordError, job_progress_key, job_record_key};
 
 /// The class of all reads of a failover. Users' reads at a leader that reads its snapshot have it too,
 /// so that neither kind is starved by the other.
@@ -21,6 +22,8 @@
     pub record: JobRecord,
     /// The version of the record's key.
     pub record_version: u64,
+    /// The version of the key of the job's progress; `None` if the record holds the progress.
+    pub progress_version: Option<u64>,
     /// The version of the live row's key; never 0, because only jobs with a live row are read.
     pub live_row_version: u64,
     /// The versions of the blocks of done tasks, by block number; 0 for a block that was
@@ -207,17 +210,20 @@
     live_row_version: u64,
     value_kb: f64,
 ) -> Result<JobReadOutcome, KvError> {
-    match read_job_record(kv, job, live_row_version).await? {
+    let progress = kv.get(FAILOVER_CLASS, &job_progress_key(job)).await?;
+    match read_job_record(kv, job, live_row_version, progress.as_ref()).await? {
         Ok(read) => read_blocks(kv, read, value_kb).await,
         unusable => Ok(unusable),
     }
 }
 
-/// Reads the record of an unfinished job, without the blocks of its done tasks.
+/// Reads the record of an unfinished job, without the blocks of its done tasks. `progress`: its
+/// progress, if that is kept apart from the record.
 pub(super) async fn read_job_record(
     kv: &KvClient,
     job: &JobId,
     live_row_version: u64,
+    progress: Option<&Entry>,
 ) -> Result<JobReadOutcome, KvError> {
     let key = job_record_key(job);
     let entry = match kv.get(FAILOVER_CLASS, &key).await {
@@ -226,12 +232,30 @@
         Err(KvError::Malformed) => return Ok(Err(UnusableJob::Malformed(key))),
         Err(error) => return Err(error),
     };
-    Ok(decode_record(job, &entry.value).map(|record| {
-        let block_versions = Vec::new();
-        Box::new(JobSnapshot { record, record_version: entry.version, live_row_version, block_versions })
+    Ok(decode_record_with_progress(job, &entry.value, progress).map(|record| {
+        Box::new(JobSnapshot {
+            record,
+            record_version: entry.version,
+            progress_version: progress.map(|entry| entry.version),
+            live_row_version,
+            block_versions: Vec::new(),
+        })
     }))
 }
 
+/// Decodes a job's record, and applies its progress if that is kept apart and the job is live.
+fn decode_record_with_progress(
+    job: &JobId,
+    record: &Value,
+    progress: Option<&Entry>,
+) -> Result<JobRecord, UnusableJob> {
+    let mut record = decode_record(job, record)?;
+    if let Some(progress) = progress.filter(|_| record.terminal_state().is_none()) {
+        record.apply_progress(&progress.value)?;
+    }
+    Ok(record)
+}
+
 /// Adds the blocks of its done tasks to a job whose record has been read.
 pub(super) async fn read_blocks(
     kv: &KvClient,
--- a/src/coordination/recovery/snapshot.rs
+++ b/src/coordination/recovery/snapshot.rs
@@ -13,13 +13,14 @@
 use crate::coordination::recovery::recorded_jobs::RecordedJob;
 use crate::coordination::recovery::snapshot_progress::{SnapshotObserver, SnapshotProgress};
 use crate::coordination::recovery::unreadable::UnreadableRecords;
+use crate::maps::HashMap;
 use crate::protocol::cloud::{MachineType, decode_catalog};
 use crate::protocol::jobs::JobId;
 use crate::protocol::kv::Entry;
 use crate::storage::kv::{KvClient, KvError, RequestClass};
 use crate::storage::records::{
-    ARCHIVED_ROWS, CATALOG, LEARNED_STATISTICS, LIVE_ROWS, LearnedStatistics, NODE_POOLS, NodePoolRecord,
-    live_row_key,
+    ARCHIVED_ROWS, CATALOG, JOB_PROGRESS, LEARNED_STATISTICS, LIVE_ROWS, LearnedStatistics, NODE_POOLS,
+    NodePoolRecord, live_row_key,
 };
 
 /// Data that a leader has read from the store: at failover everything that it needs, later
@@ -147,9 +148,10 @@
     observer: &impl SnapshotObserver,
 ) -> Result<Snapshot, KvError> {
     let mut snapshot = Snapshot::default();
-    let live_jobs = scan_live_jobs(kv).await?;
+    // Each request may wait behind the reads of many users, so the two scans wait together.
+    let (live_jobs, progress) = tokio::try_join!(scan_live_jobs(kv), scan_progress(kv))?;
     observer.observe(SnapshotProgress::RowsRead { jobs: live_jobs.len() }).await;
-    let jobs = read_live_records(kv, live_jobs, observer, &mut snapshot).await?;
+    let jobs = read_live_records(kv, live_jobs, progress, observer, &mut snapshot).await?;
     snapshot.dependency_states = read_dependencies_of(kv, &jobs, observer).await?;
     let all_readable = read_blocks_of(kv, value_kb, jobs, &mut snapshot).await?;
     if !all_readable {
@@ -202,18 +204,27 @@
     Ok(live_jobs)
 }
 
+/// Reads the progress of the jobs whose progress is kept apart from their records.
+async fn scan_progress(kv: &KvClient) -> Result<HashMap<JobId, Entry>, KvError> {
+    let entries = kv.scan(FAILOVER_CLASS, JOB_PROGRESS).await?;
+    let of_job = |entry: Entry| Some((JobId::parse(entry.key.strip_prefix(JOB_PROGRESS)?)?, entry));
+    Ok(entries.into_iter().filter_map(of_job).collect())
+}
+
 /// Reads the records of these jobs concurrently, without their blocks of done tasks. Records that
-/// cannot be used are added to the snapshot.
+/// cannot be used are added to the snapshot. `progress`: the progress of the jobs for which it is
+/// kept apart.
 async fn read_live_records(
     kv: &KvClient,
     live_jobs: Vec<LiveJob>,
+    mut progress: HashMap<JobId, Entry>,
     observer: &impl SnapshotObserver,
     snapshot: &mut Snapshot,
 ) -> Result<Vec<JobSnapshot>, KvError> {
     let reads = live_jobs.into_iter().map(|(job, live_row_version)| {
-        let (kv, observer) = (kv.clone(), observer.clone());
+        let (kv, observer, progress) = (kv.clone(), observer.clone(), progress.remove(&job));
         async move {
-            let outcome = read_job_record(&kv, &job, live_row_version).await?;
+            let outcome = read_job_record(&kv, &job, live_row_version, progress.as_ref()).await?;
             if let Ok(read) = &outcome {
                 observer.observe(SnapshotProgress::JobRead(RecordedJob::of(&read.record))).await;
             }
--- a/src/coordination/tests/failover.rs
+++ b/src/coordination/tests/failover.rs
@@ -84,6 +84,7 @@
     let jobs = vec![JobSnapshot {
         record: JobRecord::new(sample("job-1", "red", 1, 1.0), NOW_MS),
         record_version: 5,
+        progress_version: None,
         live_row_version: 5,
         block_versions: Vec::new(),
     }];
--- a/src/coordination/tests/fixtures.rs
+++ b/src/coordination/tests/fixtures.rs
@@ -65,7 +65,13 @@
 pub(in crate::coordination) fn loaded_job(spec: JobSpec) -> JobSnapshot {
     let started = spec.task_count;
     let record = JobRecord { started_high_water: started, ..JobRecord::new(spec, NOW_MS) };
-    JobSnapshot { record, record_version: 5, live_row_version: 5, block_versions: Vec::new() }
+    JobSnapshot {
+        record,
+        record_version: 5,
+        progress_version: None,
+        live_row_version: 5,
+        block_versions: Vec::new(),
+    }
 }
 
 /// A job as a new leader reads it; none of its tasks has been started. Its versions are those
--- a/src/coordination/tests/mod.rs
+++ b/src/coordination/tests/mod.rs
@@ -16,6 +16,7 @@
 mod lease;
 mod monotonic_answers;
 mod overlapping_faults;
+mod oversized_records;
 mod placement;
 mod random_faults;
 mod records;
--- a/src/coordination/tests/records.rs
+++ b/src/coordination/tests/records.rs
@@ -5,7 +5,7 @@
 
 use super::*;
 use crate::protocol::cbor::{encode, max_json_size};
-use crate::protocol::kv::{decode_commit_revision, decode_entry, encode_compare_and_swap};
+use crate::protocol::kv::{Entry, decode_commit_revision, decode_entry, encode_compare_and_swap};
 use crate::storage::in_memory_kv::InMemoryKv;
 use crate::transport::codec::Request;
 
@@ -164,7 +164,7 @@
 }
 
 /// Commits a transaction to the in-memory state service; returns the revision.
-fn apply_transaction(state: &mut InMemoryKv, transaction: &Transaction) -> Result<u64, KvError> {
+pub(super) fn apply_transaction(state: &mut InMemoryKv, transaction: &Transaction) -> Result<u64, KvError> {
     let body = encode(&encode_compare_and_swap(&transaction.compares, &transaction.changes));
     let request = Request { method: "POST".into(), target: "/commit".into(), body, close: false };
     match state.answer(&request) {
@@ -174,12 +174,17 @@
     }
 }
 
-/// The value of a key, if it exists.
-fn read_value(state: &mut InMemoryKv, key: &str) -> Option<Value> {
+/// A key with its value and version, if it exists.
+pub(super) fn read_entry(state: &mut InMemoryKv, key: &str) -> Option<Entry> {
     let target = format!("/keys/{key}");
     let request = Request { method: "GET".into(), target, body: Vec::new(), close: false };
     let (status, body) = state.answer(&request).expect("answered");
-    (status == 200).then(|| decode_entry(&body).expect("an entry").value)
+    (status == 200).then(|| decode_entry(&body).expect("an entry"))
+}
+
+/// The value of a key, if it exists.
+fn read_value(state: &mut InMemoryKv, key: &str) -> Option<Value> {
+    read_entry(state, key).map(|entry| entry.value)
 }
 
 /// The done tasks that a new leader reads from the record and its blocks.
--- a/src/storage/records.rs
+++ b/src/storage/records.rs
@@ -7,6 +7,8 @@
 //!   from the store's limits in force ([`Layout::Blocks`]).
 //! * `set/ID/SIZE-N`: the same, where the job's record names the block size
 //!   ([`Layout::NamedBlocks`]).
+//! * `prog/ID`: the progress of a live job whose description no longer fits into a value beside
+//!   it; it replaces what the job's record says about the same fields.
 //! * `live/ID`, `over/ID`: a job's summary row. A new leader scans `live/` at failover;
 //!   `over/` is the archive of terminal jobs.
 //! * `catalog`: the machine types that the cloud listed last.
@@ -23,12 +25,13 @@
 mod layout;
 mod learned_statistics;
 mod node_pool;
+mod oversized;
 mod rows;
 
 pub use job_record::{JobRecord, RecordError};
 pub use keys::{
-    ARCHIVED_ROWS, CATALOG, JOB_RECORDS, LEADER, LEARNED_STATISTICS, LIVE_ROWS, NODE_POOLS, archived_row_key,
-    job_record_key, live_row_key, node_pool_key,
+    ARCHIVED_ROWS, CATALOG, JOB_PROGRESS, JOB_RECORDS, LEADER, LEARNED_STATISTICS, LIVE_ROWS, NODE_POOLS,
+    archived_row_key, job_progress_key, job_record_key, live_row_key, node_pool_key,
 };
 pub use layout::{Layout, block_size};
 pub use learned_statistics::{DemandStatistics, LearnedStatistics};
--- a/src/storage/records/job_record.rs
+++ b/src/storage/records/job_record.rs
@@ -81,7 +81,7 @@
         self.encode_fields().set_some("done", done).build()
     }
 
-    /// Encodes the record without its done tasks, which a terminal job no longer needs.
+    /// Encodes the record without its done tasks.
     pub fn encode_without_done_tasks(&self) -> Value {
         self.encode_fields().build()
     }
@@ -177,13 +177,13 @@
 
 /// Decodes the started high-water mark. Records of builds that did not write it say nothing
 /// about starts, so any of the job's tasks may have started.
-fn decode_started_high_water(fields: &Fields<'_>, spec: &JobSpec) -> Result<u32, Malformed> {
+pub(super) fn decode_started_high_water(fields: &Fields<'_>, spec: &JobSpec) -> Result<u32, Malformed> {
     let mark = fields.opt_count("begun")?;
     Ok(mark.and_then(|mark| u32::try_from(mark).ok()).unwrap_or(spec.task_count))
 }
 
 /// Decodes the block size, if the record names one.
-fn decode_block_tasks(fields: &Fields<'_>) -> Result<Option<u32>, Malformed> {
+pub(super) fn decode_block_tasks(fields: &Fields<'_>) -> Result<Option<u32>, Malformed> {
     let Some(size) = fields.opt_count("block")? else { return Ok(None) };
     match u32::try_from(size) {
         Ok(size) if size > 0 => Ok(Some(size)),
--- a/src/storage/records/keys.rs
+++ b/src/storage/records/keys.rs
@@ -18,6 +18,14 @@
 /// Prefix of the job records.
 pub const JOB_RECORDS: &str = "rec/";
 
+/// Prefix of the progress of jobs whose description no longer fits into a value beside it.
+pub const JOB_PROGRESS: &str = "prog/";
+
+/// Key of a job's progress, if it is kept apart from the job's record.
+pub fn job_progress_key(job: &JobId) -> String {
+    format!("{JOB_PROGRESS}{job}")
+}
+
 /// Key of a job's record.
 pub fn job_record_key(job: &JobId) -> String {
     format!("{JOB_RECORDS}{job}")
