Reap no attempt while a copy of its start command may still be executed

What callers could see: a task runs on two machines, or runs again after it was done or its cancellation was confirmed.

Cause: PROTOCOL: "following `reap` the worker no longer knows the attempt, so a repeated `start` starts it once more". Starts go out in replies to heartbeats, which a worker drops after 4 s. An attempt that ended within a second was reaped by the next reply, so until the 4 s were over a late copy of the first reply started it again.

Change: an exited attempt stays listed until the last reply with its start has lost its validity; while it is listed, a copy has no effect. A task that has to start again is not sent to that worker meanwhile, and its machine does not pass the filters for the job, so that no machine leaves the task to it.

Tests: a_late_copy_of_a_start_starts_nothing_again plays a task that is done, moved or cancelled and delivers copies of every valid reply after each step; it fails before ("Done, step 1"), and with the new condition switched off. commands_arrive_twice_while_tasks_move_and_controllers_restart_within_a_second copies replies and pushed commands in whole clusters; it passes with and without the change. Two tests expected the reap in the very next reply, with no time in between: they now check that there is none then, and that it comes once the validity is over (a_cancellation_stops_a_start_that_is_in_flight, a_completion_is_recorded_before_the_row_and_before_the_reap).

--- a/src/coordination/config.rs
+++ b/src/coordination/config.rs
@@ -34,6 +34,13 @@
             + workers.heartbeat_interval() / TIMER_MARGIN_DIVISOR
     }
 
+    /// How long after it was decided a worker may execute the reply to a heartbeat, or a copy of it,
+    /// given the drift of both clocks. The worker counts [`HEARTBEAT_REPLY_TIMEOUT`] from the earlier
+    /// moment at which it sent the heartbeat.
+    pub fn heartbeat_reply_validity(&self) -> Duration {
+        HEARTBEAT_REPLY_TIMEOUT.mul_f64(WORKER_CLOCK_DRIFT_FACTOR)
+    }
+
     /// How long after a cancellation a controller may still reply to a worker that keeps running
     /// the cancelled tasks: the time within which all tasks of a cancelled job must end, less
     /// [`HEARTBEAT_REPLY_TIMEOUT`], which the last reply may take to arrive, and less
--- a/src/coordination/fleet/machine.rs
+++ b/src/coordination/fleet/machine.rs
@@ -13,6 +13,7 @@
 use crate::coordination::fleet::image_cache::ImageCache;
 use crate::coordination::jobs::resources::Resources;
 use crate::coordination::leader::effects::Effect;
+use crate::coordination::workers::recent_starts::RecentStarts;
 use crate::coordination::workers::slot::Slot;
 use crate::maps::HashMap;
 use crate::protocol::cloud::NodePoolRequest;
@@ -180,6 +181,8 @@
     pub preempted_at: Option<Instant>,
     /// The tasks that are, or may be, on it.
     pub slots: HashMap<TaskId, Slot>,
+    /// The starts that its worker may still execute a second time.
+    pub recent_starts: RecentStarts,
     /// The capacity that its slots leave free.
     pub free: Resources,
     /// Whether it holds orphan tasks, whose job is not in memory. Nothing else is placed on it then.
@@ -223,6 +226,7 @@
             deletion_in_flight: false,
             preempted_at: None,
             slots: HashMap::default(),
+            recent_starts: RecentStarts::default(),
             free: capacity,
             has_orphan_tasks: false,
             images: ImageCache::default(),
--- a/src/coordination/jobs/job.rs
+++ b/src/coordination/jobs/job.rs
@@ -170,6 +170,11 @@
         self.unfinished().saturating_sub(self.tasks.assigned_count())
     }
 
+    /// Whether the task is neither done nor assigned to a machine.
+    pub fn is_task_pending(&self, index: u32) -> bool {
+        self.tasks.is_pending(&self.record, index)
+    }
+
     /// The number of tasks that are not done yet.
     pub fn unfinished(&self) -> u32 {
         self.spec().task_count - self.record.done.len()
--- a/src/coordination/jobs/task_placements.rs
+++ b/src/coordination/jobs/task_placements.rs
@@ -50,7 +50,8 @@
         (task < tasks).then_some(task)
     }
 
-    fn is_pending(&self, record: &JobRecord, task: u32) -> bool {
+    /// Whether the task is neither done nor assigned.
+    pub fn is_pending(&self, record: &JobRecord, task: u32) -> bool {
         !record.done.contains(task) && !self.assigned.contains_key(&task)
     }
 }
--- a/src/coordination/scheduling/filters.rs
+++ b/src/coordination/scheduling/filters.rs
@@ -15,6 +15,7 @@
             && Resources::of(spec).fits(&machine.free)
             && self.allows_machine(spec, machine)
             && !has_unassigned_task(job, machine)
+            && !lists_waiting_task(job, machine)
             && (!spec.one_zone || self.is_in_zone_of_job(spec, machine))
             && (!spec.spread || self.keeps_job_spread(spec, machine))
     }
@@ -73,3 +74,9 @@
 fn has_unassigned_task(job: &Job, machine: &Machine) -> bool {
     machine.slots.keys().any(|task| &task.job == job.id() && !job.tasks.assigned.contains_key(&task.index))
 }
+
+/// Whether the worker goes on listing an exited attempt of a task of the job that waits to be started
+/// again. It might refuse another attempt of that task.
+fn lists_waiting_task(job: &Job, machine: &Machine) -> bool {
+    machine.recent_starts.kept_listed().any(|task| &task.job == job.id() && job.is_task_pending(task.index))
+}
--- a/src/coordination/scheduling/placement.rs
+++ b/src/coordination/scheduling/placement.rs
@@ -123,6 +123,10 @@
             attempt,
             "task start sent"
         );
+        let expires_at = now + self.config.heartbeat_reply_validity();
+        if let Some(started_on) = self.machines.get_mut(machine) {
+            started_on.recent_starts.record(task.clone(), attempt, expires_at);
+        }
         self.add_slot(now, machine, task, attempt, SlotState::StartSent { sequence }, true);
         Some(permit.into_command())
     }
--- a/src/coordination/tests/cancellation.rs
+++ b/src/coordination/tests/cancellation.rs
@@ -17,13 +17,16 @@
     assert_eq!(commands, [stop(&start)]);
     let stopped = TaskState::Exited(ExitCause::Stopped { saved: false });
     let commands = harness.heartbeat("vm-1", 7, EPOCH, vec![task_status(&start, stopped)]);
+    assert_eq!(commands, [], "not reaped while a copy of its start may arrive, and nothing starts again");
+    let archived = harness.commit_all();
+    assert_eq!(archived[0].changes[0].key(), archived_row_key(&id("job-1")));
+    harness.now += harness.config.heartbeat_reply_validity();
+    let commands = harness.heartbeat("vm-1", 8, EPOCH, vec![task_status(&start, stopped)]);
     assert_eq!(
         commands,
         [Command::Reap { task: start.task, attempt: start.attempt }],
         "and no task of the job starts again"
     );
-    let archived = harness.commit_all();
-    assert_eq!(archived[0].changes[0].key(), archived_row_key(&id("job-1")));
 }
 
 #[test]
--- a/src/coordination/tests/mod.rs
+++ b/src/coordination/tests/mod.rs
@@ -13,6 +13,7 @@
 mod harness;
 mod heartbeats;
 mod invariants;
+mod late_commands;
 mod lease;
 mod monotonic_answers;
 mod overlapping_faults;
--- a/src/coordination/tests/overlapping_faults.rs
+++ b/src/coordination/tests/overlapping_faults.rs
@@ -279,3 +279,30 @@
         simulation.cancellations >= 2
     });
 }
+
+/// Replies to heartbeats arrive a second time while their worker still executes them, and pushed
+/// commands much later, while machines fail, controllers come back within a fraction of a second, also
+/// in the middle of an election, and users cancel.
+#[test]
+fn commands_arrive_twice_while_tasks_move_and_controllers_restart_within_a_second() {
+    let copies = DuplicatedCommands { probability: 0.7, lasts: 100.0 };
+    let quick_restart = Kill { controller: None, restart_after: 0.2 };
+    run_concurrent_faults_in(
+        ClusterShape::busy,
+        &[
+            (20.0, copies),
+            (25.0, CancelAtEnd { probability: 0.3, lasts: 90.0 }),
+            (40.0, quick_restart),
+            (40.4, quick_restart),
+            (50.0, CancelNow { count: 6, hang: 0.0 }),
+            (60.0, TerminateMachines { probability: 0.3 }),
+            (70.0, KillAll { restart_after: 0.3 }),
+            (70.5, Kill { controller: Some(0), restart_after: 0.1 }),
+            (85.0, CancelNow { count: 6, hang: 2.0 }),
+            (86.0, quick_restart),
+        ],
+        |simulation| {
+            simulation.copied_commands > 200 && simulation.cancellations > 3 && simulation.leaders.len() >= 3
+        },
+    );
+}
--- a/src/coordination/tests/records.rs
+++ b/src/coordination/tests/records.rs
@@ -30,6 +30,9 @@
     assert_eq!(keys[1], [archived_row_key(&id("job-1")), live_row_key(&id("job-1"))]);
     assert_eq!(answered_state(&harness.answer(reply).expect("answered")), "done");
     let commands = harness.heartbeat("vm-1", 7, EPOCH, vec![task_status(&start, DONE)]);
+    assert_eq!(commands, [], "no reap while a copy of its start may arrive");
+    harness.now += harness.config.heartbeat_reply_validity();
+    let commands = harness.heartbeat("vm-1", 8, EPOCH, vec![task_status(&start, DONE)]);
     assert_eq!(commands, [Command::Reap { task: start.task, attempt: start.attempt }]);
 }
 
--- a/src/coordination/tests/simulation/events.rs
+++ b/src/coordination/tests/simulation/events.rs
@@ -28,6 +28,19 @@
         sent: Instant,
         answer: Option<Response>,
     },
+    /// A copy of the reply to a heartbeat arrives.
+    ReplyCopied {
+        machine: String,
+        /// Incarnation of the worker that sent the heartbeat.
+        incarnation: u64,
+        sent: Instant,
+        body: Value,
+    },
+    /// A copy of pushed commands arrives.
+    PushCopied {
+        machine: String,
+        body: Vec<u8>,
+    },
     /// A user's request was answered or timed out.
     RequestAnswered {
         job: String,
@@ -69,6 +82,12 @@
                 }
                 self.request_answered(&job, request_kind, origin, answer, is_extra);
             }
+            Event::ReplyCopied { machine, incarnation, sent, body } => {
+                self.handle_copied_reply(&machine, incarnation, sent, &body);
+            }
+            Event::PushCopied { machine, body } => {
+                self.handle_pushed_commands(Instant::now(), &machine, &body);
+            }
             Event::Metrics { controller, answer } => self.check_metrics(controller, &answer),
             Event::PeerReplied { sender, peer, reply } => self.trace_peer_reply(sender, peer, &reply),
             Event::Nothing => {}
--- a/src/coordination/tests/simulation/faults.rs
+++ b/src/coordination/tests/simulation/faults.rs
@@ -33,6 +33,9 @@
     DelayedWrites { probability: f64, lasts: f64 },
     /// Copies of heartbeats arrive later, at random controllers.
     DuplicatedHeartbeats { probability: f64, lasts: f64 },
+    /// Replies to heartbeats arrive at their worker a second time before the worker drops them, and
+    /// pushed commands a second time later.
+    DuplicatedCommands { probability: f64, lasts: f64 },
     /// Users cancel the jobs of the first `count` running tasks; the machines that run tasks of
     /// these jobs are stalled for `hang`.
     CancelNow { count: usize, hang: f64 },
@@ -128,6 +131,9 @@
             Fault::DuplicatedHeartbeats { probability, lasts } => {
                 self.duplicated_heartbeats = random(probability, lasts);
             }
+            Fault::DuplicatedCommands { probability, lasts } => {
+                self.duplicated_commands = random(probability, lasts);
+            }
             Fault::CancelAtEnd { probability, lasts } => self.cancel_at_end = random(probability, lasts),
             Fault::PeersUnreachable { lasts } => self.peers_unreachable_until = until(lasts),
             Fault::Stall { controller, lasts } => {
--- a/src/coordination/tests/simulation/mod.rs
+++ b/src/coordination/tests/simulation/mod.rs
@@ -139,6 +139,7 @@
     // Workers.
     machines: BTreeMap<String, Worker>,
     duplicated_heartbeats: RandomFault,
+    duplicated_commands: RandomFault,
 
     // Users.
     jobs: BTreeMap<String, Job>,
@@ -171,6 +172,8 @@
     pub over_limits: usize,
     /// Heartbeats chosen for a late copy, including copies whose receiver was down.
     pub late_copies: usize,
+    /// Replies to heartbeats and pushed commands of which a copy was sent.
+    pub copied_commands: usize,
     /// Jobs whose users learned that they are cancelled.
     pub cancellations: usize,
     /// Leases of workers that expired while they had tasks.
@@ -275,6 +278,7 @@
             controllers: (0..shape.controllers).map(|_| SimulatedController::new(begin)).collect(),
             machines: BTreeMap::new(),
             duplicated_heartbeats: RandomFault::inactive(begin),
+            duplicated_commands: RandomFault::inactive(begin),
             jobs: BTreeMap::new(),
             next_job: 0,
             shape,
@@ -292,6 +296,7 @@
             late_transactions: 0,
             over_limits: 0,
             late_copies: 0,
+            copied_commands: 0,
             cancellations: 0,
             lost_leases: 0,
             reordered_answers: 0,
--- a/src/coordination/tests/simulation/workers.rs
+++ b/src/coordination/tests/simulation/workers.rs
@@ -177,6 +177,7 @@
         match answer.map(|a| (a.status, decode(&a.body).unwrap_or(Value::Null))) {
             Some((200, body)) if incarnation == worker.incarnation => {
                 self.accept_reply(now, machine, sent, &body);
+                self.send_late_copy_of_reply(now, machine, incarnation, sent, body);
             }
             Some((200, _)) => {}
             Some((421, body)) => {
@@ -191,6 +192,60 @@
         }
     }
 
+    /// Sends a copy of a reply to its worker that arrives before the worker drops it.
+    fn send_late_copy_of_reply(
+        &mut self,
+        now: Instant,
+        machine: &str,
+        incarnation: u64,
+        sent: Instant,
+        body: Value,
+    ) {
+        if !self.duplicated_commands.affects(now, &mut self.rng) {
+            return;
+        }
+        self.copied_commands += 1;
+        let dropped_from = sent + REPLY_TIMEOUT;
+        let after = dropped_from.saturating_duration_since(now).mul_f64(self.rng.random_range(0.0..1.0));
+        let machine = machine.to_owned();
+        self.events.spawn(async move {
+            tokio::time::sleep(after).await;
+            Event::ReplyCopied { machine, incarnation, sent, body }
+        });
+    }
+
+    /// Handles a copy of a reply, as the reply itself but for the choice of the controller.
+    pub(super) fn handle_copied_reply(
+        &mut self,
+        machine: &str,
+        incarnation: u64,
+        sent: Instant,
+        body: &Value,
+    ) {
+        let now = Instant::now();
+        let is_valid = |worker: &Worker| {
+            let is_reachable = now >= worker.one_way_partitioned_until && now >= worker.hung_until;
+            worker.gone_at.is_none() && worker.incarnation == incarnation && is_reachable
+        };
+        if now < sent + REPLY_TIMEOUT && self.machines.get(machine).is_some_and(is_valid) {
+            self.accept_reply(now, machine, sent, body);
+        }
+    }
+
+    /// Sends a copy of pushed commands to the worker that arrives late.
+    fn send_late_copy_of_push(&mut self, now: Instant, machine: &str, body: &[u8]) {
+        if !self.duplicated_commands.affects(now, &mut self.rng) {
+            return;
+        }
+        self.copied_commands += 1;
+        let after = seconds(self.rng.random_range(2.0..30.0));
+        let (machine, body) = (machine.to_owned(), body.to_vec());
+        self.events.spawn(async move {
+            tokio::time::sleep(after).await;
+            Event::PushCopied { machine, body }
+        });
+    }
+
     /// Accepts a reply, unless its fencing token is outdated: renews the worker's lease and carries
     /// out the commands.
     fn accept_reply(&mut self, now: Instant, machine: &str, sent: Instant, body: &Value) {
@@ -231,6 +286,7 @@
         if now < worker.hung_until {
             return worker.held_commands.push(call.body.clone());
         }
+        self.send_late_copy_of_push(now, &name, &call.body);
         if let Some(response) = self.handle_pushed_commands(now, &name, &call.body) {
             let _ = reply.send(Ok(response));
         }
@@ -238,7 +294,12 @@
 
     /// Carries out pushed commands, unless their fencing token is outdated or they are for another
     /// incarnation of the worker; the response is a heartbeat.
-    fn handle_pushed_commands(&mut self, now: Instant, name: &str, body: &[u8]) -> Option<Response> {
+    pub(super) fn handle_pushed_commands(
+        &mut self,
+        now: Instant,
+        name: &str,
+        body: &[u8],
+    ) -> Option<Response> {
         let body = decode(body).ok()?;
         let fields = Fields::of(&body).ok()?;
         let (fencing_token, incarnation) = (fields.count("baton").ok()?, fields.count("shift").ok()?);
--- a/src/coordination/workers/heartbeats.rs
+++ b/src/coordination/workers/heartbeats.rs
@@ -135,6 +135,9 @@
         if has_new_incarnation {
             // A new incarnation starts without tasks.
             self.clear_slots(now, &heartbeat.machine);
+            if let Some(machine) = self.machines.get_mut(&heartbeat.machine) {
+                machine.recent_starts.clear();
+            }
         }
         self.reconcile_tasks(now, heartbeat);
         self.mark_machine_reconciled(&heartbeat.machine);
@@ -175,6 +178,7 @@
         }
         worker.heartbeat_at = Some(now);
         worker.address.clone_from(&heartbeat.address);
+        machine.recent_starts.forget_expired(now);
         mark_up(machine, now);
         record_preemption_notice(machine, now, heartbeat);
         has_new_incarnation
--- a/src/coordination/workers/mod.rs
+++ b/src/coordination/workers/mod.rs
@@ -14,6 +14,7 @@
 pub mod failure_detector;
 pub mod heartbeats;
 mod machine_use;
+pub mod recent_starts;
 mod reply_commands;
 mod reply_deferral;
 pub mod slot;
--- a/src/coordination/workers/reply_commands.rs
+++ b/src/coordination/workers/reply_commands.rs
@@ -27,7 +27,9 @@
     fn command_for_task(&self, machine: &Machine, status: &TaskStatus) -> Option<Command> {
         let (task, attempt) = (status.task.clone(), status.attempt);
         if let TaskState::Exited(cause) = status.state {
-            let must_stay_listed = cause == ExitCause::Done && self.may_be_uncommitted(&task);
+            // While the worker lists the attempt, a copy of its start has no effect.
+            let must_stay_listed = (cause == ExitCause::Done && self.may_be_uncommitted(&task))
+                || machine.recent_starts.contains(&task, attempt);
             return (!must_stay_listed).then_some(Command::Reap { task, attempt });
         }
         let Some(slot) = machine.slots.get(&task) else {
--- a/src/coordination/workers/task_reconciliation.rs
+++ b/src/coordination/workers/task_reconciliation.rs
@@ -164,6 +164,9 @@
     /// Handles a listed task that has exited. Its slot is removed if it belongs to this attempt.
     fn handle_task_exit(&mut self, now: Instant, machine: &MachineId, status: &TaskStatus, cause: ExitCause) {
         let task = &status.task;
+        if let Some(machine) = self.machines.get_mut(machine) {
+            machine.recent_starts.record_exited(task, status.attempt);
+        }
         let slot = self
             .machines
             .get(machine)
