Give plans of waiting tasks a module, and property tests one configuration

No behaviour changes. The types that plan waiting tasks move out of the check that uses them; how long a task stays on its machine moves to the run time estimates; the two property tests share the configuration that makes their cases reproducible.

--- a/src/coordination/fleet/unschedulable.rs
+++ b/src/coordination/fleet/unschedulable.rs
@@ -10,11 +10,14 @@
 //! Tasks with the same requirements are checked together, first fit, so that the cost of a check
 //! depends on the number of different requirements and not on the number of tasks.
 
+mod plan;
+
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 use tokio::time::Instant;
 
+use self::plan::{Plan, Requirements, Room, WaitingShape, startable_tasks};
+
 use crate::coordination::fleet::demand::DemandGroup;
 use crate::coordination::fleet::instance_offers::InstanceOffer;
 use crate::coordination::fleet::machine::Machine;
@@ -25,11 +28,9 @@
 use crate::coordination::jobs::quota::QuotaId;
 use crate::coordination::jobs::resources::Resources;
 use crate::coordination::leader::Leader;
-use crate::coordination::scheduling::ordering::MIN_FREE_CPUS;
-use crate::coordination::workers::slot::Slot;
 use crate::maps::{HashMap, HashSet};
 use crate::numeric::whole_usize;
-use crate::protocol::jobs::{JobId, TaskId};
+use crate::protocol::jobs::JobId;
 use crate::protocol::workers::MachineId;
 
 /// A task is checked once it has waited for this many heartbeat intervals: every machine that was
@@ -39,115 +40,6 @@
 /// checked in the following ticks.
 const MAX_SHAPES_PER_TICK: usize = 64;
 
-/// What waiting tasks require. Tasks with equal requirements are checked together.
-///
-/// The resources are compared by their bits, since they come from the users unchanged.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-struct Requirements<'a> {
-    /// The CPUs, GPUs and memory of one task.
-    resources: [u64; 3],
-    /// The allowed machine types; `None` if all are allowed.
-    machine_types: Option<&'a [String]>,
-    /// The only allowed zone, if any.
-    zone: Option<&'a str>,
-    /// Whether spot machines are allowed.
-    spot: bool,
-    /// Whether the tasks are replicas of a service.
-    is_service: bool,
-    /// The job, if its tasks are checked apart from those of other jobs: it is starved, or the
-    /// zones of its other tasks limit where these may start.
-    job: Option<&'a JobId>,
-}
-
-/// Waiting tasks with equal requirements.
-#[derive(Debug)]
-struct WaitingShape<'a> {
-    /// One of the jobs.
-    job: &'a Job,
-    /// The resources of one task.
-    task: Resources,
-    /// The number of tasks that could start now if machines had room for them.
-    count: u32,
-    /// Whether the job is starved. It then no longer waits for the tasks of others to end.
-    is_starved: bool,
-}
-
-/// Room for tasks on a machine that exists or was requested.
-#[derive(Debug)]
-struct Room<'a> {
-    /// The machine; `None` if the cloud has not named it yet.
-    machine: Option<&'a Machine>,
-    /// Its type and zone, and whether it is a spot machine.
-    offer: InstanceOffer,
-    /// The capacity that no task takes and that is not planned for a waiting one.
-    free: Resources,
-    /// The starved job that it is reserved for, if any.
-    reserved_for: Option<&'a JobId>,
-    /// The capacity of its tasks that are expected to end soon, once it was determined.
-    ending: Option<Resources>,
-}
-
-/// The rooms of the fleet, and the machines that waiting tasks rely on.
-#[derive(Debug, Default)]
-struct Plan<'a> {
-    rooms: Vec<Room<'a>>,
-    relied_on: HashSet<MachineId>,
-    requests: Vec<ScaleOutRequest>,
-}
-
-impl Room<'_> {
-    /// Whether tasks of the shape may start here, as far as the machine alone decides.
-    fn allows(&self, shape: &WaitingShape<'_>, group: &DemandGroup) -> bool {
-        let is_reserved_for_another = self.reserved_for.is_some_and(|job| job != shape.job.id());
-        !is_reserved_for_another && group.allows(&self.offer)
-    }
-}
-
-/// How many tasks with these resources could start in the free capacity. Placement skips a machine
-/// without free CPUs, even for a task that needs none.
-fn startable_tasks(task: &Resources, free: &Resources) -> u32 {
-    if free.cpus < MIN_FREE_CPUS { 0 } else { task.times_in(free) }
-}
-
-impl<'a> Plan<'a> {
-    /// Plans up to `count` tasks of the shape on machines that have room; returns how many are left.
-    fn place(
-        &mut self,
-        shape: &WaitingShape<'_>,
-        group: &DemandGroup,
-        zones: &mut ZoneLimits,
-        count: u32,
-    ) -> u32 {
-        let mut remaining = count;
-        for room in &mut self.rooms {
-            if remaining == 0 {
-                break;
-            }
-            if !room.allows(shape, group) {
-                continue;
-            }
-            let placed = remaining
-                .min(startable_tasks(&shape.task, &room.free))
-                .min(zones.allowed_in(&room.offer.zone));
-            if placed == 0 {
-                continue;
-            }
-            remaining -= placed;
-            room.free.sub(&shape.task.times(placed));
-            zones.add(&room.offer.zone, placed);
-            self.relied_on.extend(room.machine.map(|machine| machine.id.clone()));
-        }
-        remaining
-    }
-
-    /// Adds the machines of a request, which have not been named yet.
-    fn add_requested(&mut self, offer: &InstanceOffer, capacity: Resources, count: u32) {
-        let room =
-            || Room { machine: None, offer: offer.clone(), free: capacity, reserved_for: None, ending: None };
-        self.rooms.extend((0..count).map(|_| room()));
-    }
-}
-
 impl Leader {
     /// Requests machines for waiting tasks that no machine can take. Returns the machines that
     /// waiting tasks rely on, which must not be scaled in.
@@ -362,18 +254,6 @@
         ending
     }
 
-    /// How long the task is expected to stay on its machine; `None` if it does not end by itself.
-    /// A task that has run for longer than expected is assumed to need as long again as it is late.
-    fn time_to_end(&self, now: Instant, task: &TaskId, slot: &Slot) -> Option<Duration> {
-        if slot.stop_grace_s.is_some() || !slot.assigned {
-            return Some(Duration::ZERO);
-        }
-        let job = self.jobs.get(&task.job).filter(|job| !job.is_service())?;
-        let expected = Duration::from_secs_f64(self.run_estimates.expected_run_s(job.spec()));
-        let elapsed = now.saturating_duration_since(slot.since);
-        Some(expected.abs_diff(elapsed))
-    }
-
     /// The zones in which waiting tasks of the job may start, given its tasks on machines.
     fn zone_limits(&self, job: &Job) -> ZoneLimits {
         let machines = job.tasks.assigned.values().filter_map(|id| self.machines.get(id));
--- a/src/coordination/jobs/dependency_graph/tests/recomputation.rs
+++ b/src/coordination/jobs/dependency_graph/tests/recomputation.rs
@@ -4,12 +4,14 @@
 
 use proptest::collection::{btree_set, vec};
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 
 use super::*;
+use crate::coordination::tests::reproducible_cases;
 
 /// Jobs in a graph. Each depends on jobs with lower numbers only.
 const JOBS: u32 = 20;
+/// The number of random sequences, unless `PROPTEST_CASES` names another.
+const SEQUENCES: u32 = 256;
 /// Operations on a graph.
 const OPERATIONS: usize = 60;
 /// An insertion of a job that is in the graph removes and adds edges; the changes of urgencies on
@@ -244,17 +246,8 @@
     ]
 }
 
-/// The same cases in each run, unless `PROPTEST_RNG_SEED` names others.
-fn config() -> ProptestConfig {
-    let config = ProptestConfig { failure_persistence: None, ..ProptestConfig::default() };
-    match config.rng_seed {
-        RngSeed::Random => ProptestConfig { rng_seed: RngSeed::Fixed(1), ..config },
-        RngSeed::Fixed(_) => config,
-    }
-}
-
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(reproducible_cases(SEQUENCES))]
 
     /// Guards against urgencies and cancellations that depend on the order of the operations, and
     /// against operations that visit a job twice.
--- a/src/coordination/scheduling/run_estimates.rs
+++ b/src/coordination/scheduling/run_estimates.rs
@@ -1,7 +1,13 @@
 //! Run time estimates of tasks: the owners' estimates, corrected by measured run times.
 
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::coordination::leader::Leader;
+use crate::coordination::workers::slot::Slot;
 use crate::maps::HashMap;
-use crate::protocol::jobs::JobSpec;
+use crate::protocol::jobs::{JobSpec, TaskId};
 
 /// Maximum number of classes whose ratio is remembered; later ones are ignored.
 const MAX_CLASSES: usize = 256;
@@ -53,3 +59,17 @@
         *ratio += (measured - *ratio) * SMOOTHING;
     }
 }
+
+impl Leader {
+    /// How long the task is expected to stay on its machine; `None` if it does not end by itself.
+    /// A task that has run for longer than expected is assumed to need as long again as it is late.
+    pub(crate) fn time_to_end(&self, now: Instant, task: &TaskId, slot: &Slot) -> Option<Duration> {
+        if slot.stop_grace_s.is_some() || !slot.assigned {
+            return Some(Duration::ZERO);
+        }
+        let job = self.jobs.get(&task.job).filter(|job| !job.is_service())?;
+        let expected = Duration::from_secs_f64(self.run_estimates.expected_run_s(job.spec()));
+        let elapsed = now.saturating_duration_since(slot.since);
+        Some(expected.abs_diff(elapsed))
+    }
+}
--- a/src/coordination/tests/fixtures.rs
+++ b/src/coordination/tests/fixtures.rs
@@ -1,5 +1,7 @@
 //! Fixtures of the leader's tests: functions that build its inputs and read its outputs.
 
+use proptest::test_runner::{Config as ProptestConfig, RngSeed};
+
 use super::*;
 
 /// Epoch of the leader under test; also its fencing token.
@@ -11,6 +13,16 @@
 /// State of a task that has ended successfully.
 pub(super) const DONE: TaskState = TaskState::Exited(ExitCause::Done);
 
+/// The configuration of a property test: the same cases in each run, unless `PROPTEST_RNG_SEED` names
+/// others.
+pub(in crate::coordination) fn reproducible_cases(cases: u32) -> ProptestConfig {
+    let config = ProptestConfig { failure_persistence: None, cases, ..ProptestConfig::default() };
+    match config.rng_seed {
+        RngSeed::Random => ProptestConfig { rng_seed: RngSeed::Fixed(1), ..config },
+        RngSeed::Fixed(_) => config,
+    }
+}
+
 /// Parses a job id; panics if it is invalid.
 pub(super) fn id(text: &str) -> JobId {
     JobId::parse(text).expect("valid id")
--- a/src/coordination/tests/mod.rs
+++ b/src/coordination/tests/mod.rs
@@ -62,5 +62,5 @@
     DONE, EPOCH, NOW_MS, StartedTask, answered_state, id, inventory_entry, job_ids, machine,
     running_statuses, starts, stop, task_status, unstarted_job,
 };
-pub(super) use fixtures::{catalog, heartbeat_message, loaded_job, single_machine_pool};
+pub(super) use fixtures::{catalog, heartbeat_message, loaded_job, reproducible_cases, single_machine_pool};
 use harness::Harness;
--- a/src/coordination/tests/unschedulable.rs
+++ b/src/coordination/tests/unschedulable.rs
@@ -5,7 +5,6 @@
 
 use proptest::collection::vec;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 
 use super::calm_cluster::CalmCluster;
 use super::*;
@@ -100,6 +99,8 @@
     assert_eq!(cluster.machines_of("job-000001").len(), 2);
 }
 
+/// The number of random fleets, unless `PROPTEST_CASES` names another.
+const FLEETS: u32 = 64;
 /// The names and CPUs of the machine types of the random fleets.
 const TYPES: [(&str, f64); 3] = [("m4", 4.0), ("m16", 16.0), ("m64", 64.0)];
 
@@ -172,17 +173,8 @@
     })
 }
 
-/// The same cases in each run, unless `PROPTEST_RNG_SEED` names others.
-fn config() -> ProptestConfig {
-    let config = ProptestConfig { failure_persistence: None, cases: 64, ..ProptestConfig::default() };
-    match config.rng_seed {
-        RngSeed::Random => ProptestConfig { rng_seed: RngSeed::Fixed(1), ..config },
-        RngSeed::Fixed(_) => config,
-    }
-}
-
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(reproducible_cases(FLEETS))]
 
     /// Guards against any waiting task that neither a machine nor a request for one would serve: in
     /// a calm cluster each job that some offer can hold begins, and each service is complete, within the policy's time.
