Reserve no machine for a job that its replicas leave no room for

What callers saw: a job waits for good beside a machine that has room for it, under its team's limit.

Cause: a machine was reserved for a starved job if the job fits on the machine when it is empty. Replicas of services do not end by themselves, so the room never comes, and nothing else starts on a reserved machine. Evidence: with 8 of 16 CPUs taken by a replica, a starved replica of 12 CPUs and no further machine in the cloud, a job of 2 CPUs does not start within 90 s.

Change: a reservation needs, when it is made and as long as it is used, that the task fits once the tasks that end by themselves have ended. Otherwise no waiting gives the job room there, so the machine is left to others; the job's own machine is requested by the check of waiting tasks.

The new test fails before (the condition switched off). 288 library tests pass.

--- a/src/coordination/fleet/catalog.rs
+++ b/src/coordination/fleet/catalog.rs
@@ -143,11 +143,6 @@
         })
     }
 
-    /// Whether a task of the job fits on an empty machine of the type.
-    pub(crate) fn fits_empty(&self, spec: &JobSpec, id: MachineTypeId) -> bool {
-        self.get(id).is_some_and(|machine_type| Resources::of(spec).fits(&Resources::of_type(machine_type)))
-    }
-
     /// How long a machine of the type takes to fetch the job's image, in seconds; 0 if the type or
     /// its fetch rate is not known.
     pub(crate) fn image_fetch_s(&self, spec: &JobSpec, id: MachineTypeId) -> f64 {
--- a/src/coordination/scheduling/placement.rs
+++ b/src/coordination/scheduling/placement.rs
@@ -59,7 +59,7 @@
             }
             started += self.start_tasks_of(now, queued, heartbeat, max_starts - started, commands);
             let has_started = self.jobs.get(&queued.job).is_none_or(|job| !job.tasks.assigned.is_empty());
-            if queued.starved && !has_started && self.try_reserve(&queued.job, machine) {
+            if queued.starved && !has_started && self.try_reserve(now, &queued.job, machine) {
                 break;
             }
         }
--- a/src/coordination/tests/calm_cluster.rs
+++ b/src/coordination/tests/calm_cluster.rs
@@ -23,6 +23,8 @@
     types: Vec<MachineType>,
     machines: BTreeMap<MachineId, ScriptedMachine>,
     last_machine: u32,
+    /// Whether the cloud has machines; true unless the test changes it.
+    pub(super) has_capacity: bool,
     /// When each task was first started.
     pub(super) first_starts: BTreeMap<TaskId, Instant>,
     /// The tasks that are done.
@@ -37,6 +39,7 @@
             types,
             machines: BTreeMap::new(),
             last_machine: 0,
+            has_capacity: true,
             first_starts: BTreeMap::new(),
             done: BTreeSet::new(),
         };
@@ -141,6 +144,15 @@
 
     fn answer_cloud_calls(&mut self) {
         for (operation, call) in std::mem::take(&mut self.harness.cloud_calls) {
+            if !self.has_capacity && matches!(call, CloudCall::Provision(_)) {
+                self.harness.leader.handle_cloud_result(
+                    self.harness.now,
+                    operation,
+                    Err(CloudError::NoCapacity),
+                );
+                self.harness.collect_effects();
+                continue;
+            }
             let reply = match call {
                 CloudCall::Catalog => CloudReply::Catalog(self.types.clone()),
                 CloudCall::ListMachines { .. } => {
--- a/src/coordination/tests/unschedulable.rs
+++ b/src/coordination/tests/unschedulable.rs
@@ -99,6 +99,26 @@
     assert_eq!(cluster.machines_of("job-000001").len(), 2);
 }
 
+/// Guards against a machine that is reserved for a job for which its replicas never make room: other
+/// jobs waited beside free capacity for as long as the cloud had no further machine.
+#[test]
+fn no_machine_is_reserved_for_a_job_that_its_replicas_leave_no_room_for() {
+    let mut cluster = CalmCluster::new(vec![machine_type("m16", 16.0)]);
+    cluster.has_capacity = false;
+    cluster.add_machine("m16", "z1");
+    cluster.run(5);
+    cluster.harness.accept(service("job-000001", 1, 8.0, None));
+    cluster.run(5);
+    cluster.harness.accept(service("job-000002", 1, 12.0, None));
+    cluster.run(cluster.harness.config.tuning.start_within.as_secs());
+    cluster.harness.accept(service("job-000003", 1, 2.0, None));
+    cluster.run(MAX_WAIT_S);
+    assert_eq!(cluster.machines_of("job-000003").len(), 1, "8 CPUs are free");
+    cluster.has_capacity = true;
+    cluster.run(MAX_WAIT_S);
+    assert_eq!(cluster.machines_of("job-000002").len(), 1, "once the cloud has a machine");
+}
+
 /// The number of random fleets, unless `PROPTEST_CASES` names another.
 const FLEETS: u32 = 64;
 /// The names and CPUs of the machine types of the random fleets.
